--- a/src/claim_calls.cpp
+++ b/src/claim_calls.cpp
@@ -60,7 +60,8 @@
     return row;
 }
 
-void write_outcome(world &w, request_state const &request, Json::Value const &row)
+void write_outcome(world &w, request_state const &request,
+                   Json::Value const &row)
 {
     table_call call;
     call.conditions.push_back({claim_key(request), request.claim_row_version});
--- /dev/null
+++ b/src/daemon_loop.cpp
@@ -0,0 +1,127 @@
+#include "daemon_loop.hpp"
+
+#include "tick.hpp"
+#include "world.hpp"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <ctime>
+#include <utility>
+#include <vector>
+
+namespace agateledge
+{
+
+namespace
+{
+
+template <class Item>
+void each(std::vector<Item> const &items,
+          std::function<void(Item const &)> const &handler)
+{
+    if (handler)
+    {
+        std::ranges::for_each(items, handler);
+    }
+}
+
+void remove_source(unsigned &source)
+{
+    if (source != 0)
+    {
+        g_source_remove(std::exchange(source, 0));
+    }
+}
+
+} // namespace
+
+daemon_loop::daemon_loop(world &state) : state_(state) {}
+
+daemon_loop::~daemon_loop()
+{
+    remove_source(idle_source_);
+    remove_source(timer_source_);
+}
+
+instant daemon_loop::clock_now()
+{
+    timespec value{};
+    clock_gettime(CLOCK_BOOTTIME, &value);
+    return instant(seconds(value.tv_sec) +
+                   std::chrono::duration_cast<duration>(
+                       std::chrono::nanoseconds(value.tv_nsec)));
+}
+
+inbox &daemon_loop::input()
+{
+    schedule_now();
+    return state_.in;
+}
+
+void daemon_loop::schedule_now()
+{
+    if (idle_source_ != 0)
+    {
+        return;
+    }
+    idle_source_ = g_idle_add_full(
+        G_PRIORITY_DEFAULT,
+        [](gpointer self) -> gboolean
+        {
+            auto *loop = static_cast<daemon_loop *>(self);
+            loop->idle_source_ = 0;
+            loop->run_tick();
+            return G_SOURCE_REMOVE;
+        },
+        this, nullptr);
+}
+
+void daemon_loop::schedule_wake()
+{
+    remove_source(timer_source_);
+    if (!state_.next_wake)
+    {
+        return;
+    }
+    auto const delay = std::max(*state_.next_wake - clock_now(), duration(0));
+    auto const rounded_up = std::chrono::ceil<milliseconds>(delay).count();
+    timer_source_ = g_timeout_add_full(
+        G_PRIORITY_DEFAULT, static_cast<guint>(rounded_up),
+        [](gpointer self) -> gboolean
+        {
+            auto *loop = static_cast<daemon_loop *>(self);
+            loop->timer_source_ = 0;
+            loop->run_tick();
+            return G_SOURCE_REMOVE;
+        },
+        this, nullptr);
+}
+
+void daemon_loop::run_tick()
+{
+    tick(state_, std::max(clock_now(), state_.now));
+    carry_out();
+    schedule_wake();
+}
+
+void daemon_loop::carry_out()
+{
+    auto const out = std::exchange(state_.out, {});
+    each(out.log_entries, handlers.write_log);
+    each(out.caller_replies, handlers.reply_to_caller);
+    each(out.engine_calls, handlers.call_engine);
+    each(out.attempt_cancels, handlers.cancel_attempt);
+    each(out.service_calls, handlers.call_service);
+    each(out.table_calls, handlers.call_table);
+    each(out.order_calls, handlers.send_order);
+    each(out.peer_calls, handlers.call_peer);
+    each(out.configuration_fetches, handlers.fetch_configuration);
+    each(out.operator_replies, handlers.reply_to_operator);
+    if (out.stop_ready && handlers.stop)
+    {
+        handlers.stop();
+    }
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/settings.hpp
@@ -0,0 +1,103 @@
+#ifndef AGATELEDGE_SETTINGS_HPP
+#define AGATELEDGE_SETTINGS_HPP
+
+#include "configuration.hpp"
+#include "time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+/// Certificate and key of a listener; empty paths turn TLS off.
+struct tls_settings
+{
+    std::string certificate_file;
+    std::string key_file;
+
+    auto operator<=>(tls_settings const &) const = default;
+};
+
+/// Other daemon that this one starts with.
+struct peer_settings
+{
+    std::string name;
+    std::string address;
+    std::string data_centre;
+
+    auto operator<=>(peer_settings const &) const = default;
+};
+
+/// Operator who may use the operators' listener.
+struct operator_settings
+{
+    std::string name;
+    /// SHA-256 of the bearer token, in lower-case hexadecimal.
+    std::string token_sha256;
+
+    auto operator<=>(operator_settings const &) const = default;
+};
+
+/// Bounds on what callers may send.
+struct listener_limits
+{
+    std::int64_t max_body_bytes = 4 * 1024 * 1024;
+    std::int64_t max_header_bytes = 32 * 1024;
+    int max_connections = 4096;
+    /// Time in which a caller must have sent its whole request.
+    duration request_timeout = seconds(20);
+    /// Answer bytes that may wait for a slow reader before the daemon stops
+    /// reading from the engine.
+    std::int64_t max_buffered_bytes = 64 * 1024;
+
+    auto operator<=>(listener_limits const &) const = default;
+};
+
+/// Budgets towards the table service, for this daemon.
+struct store_limits
+{
+    double writes_per_second = 60;
+    double reads_per_second = 200;
+
+    auto operator<=>(store_limits const &) const = default;
+};
+
+/// Settings of one daemon, read from its TOML file.
+struct settings
+{
+    std::string name;
+    std::string data_centre;
+    std::string log_level = "info";
+    /// IP addresses and ports of the listeners.
+    std::string caller_address = "127.0.0.1:8080";
+    std::string operator_address = "127.0.0.1:8081";
+    std::string peer_address = "127.0.0.1:8082";
+    tls_settings caller_tls;
+    tls_settings operator_tls;
+    /// IP addresses and ports of the platform's services.
+    std::string table_address;
+    std::string object_store_address;
+    std::string weight_store_address;
+    std::string membership_address;
+    /// File with the key that signs request ids, one key a line; the first one
+    /// signs, all verify. Read again on SIGHUP.
+    std::string request_key_file;
+    /// File with the keys that sign calls between daemons, in the same form.
+    std::string peer_key_file;
+    std::vector<peer_settings> peers;
+    std::vector<operator_settings> operators;
+    listener_limits limits;
+    store_limits store;
+    /// Configuration that is written as revision 1 when the table service has
+    /// none.
+    configuration initial;
+
+    auto operator<=>(settings const &) const = default;
+};
+
+} // namespace agateledge
+
+#endif
