Add the HTTP adapters and the daemon process

Cause: the decision core had no way to meet callers, engines, plain services or the table service over HTTP. Change: a libsoup listener for callers (bearer tokens, limits, deadlines on slow peers, signed request ids, server-sent events), clients for engines, services and the table service, and daemon_process, which runs one daemon on the default GLib main context. run_serve stops it on SIGTERM.

--- /dev/null
+++ b/harness/http_script.hpp
@@ -0,0 +1,46 @@
+#ifndef AGATELEDGE_HTTP_SCRIPT_HPP
+#define AGATELEDGE_HTTP_SCRIPT_HPP
+
+#include "gobject_ptr.hpp"
+
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <string>
+
+namespace agateledge
+{
+
+/// HTTP server on a loopback port whose answers a test scripts.
+class http_script
+{
+public:
+    /// Called with each request; it sets the answer, or pauses the message.
+    using handler =
+        std::function<void(SoupServerMessage *message, std::string const &path,
+                           std::string const &body)>;
+
+    explicit http_script(handler on_request);
+    ~http_script();
+    http_script(http_script const &) = delete;
+    http_script &operator=(http_script const &) = delete;
+
+    /// @return IP address and port
+    std::string const &address() const { return address_; }
+
+    /// Closes the listener and all connections.
+    void stop();
+
+    /// Answers with one whole document.
+    static void answer(SoupServerMessage *message, int status,
+                       std::string const &body);
+
+private:
+    handler on_request_;
+    gobject_ptr<SoupServer> server_;
+    std::string address_;
+};
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/connection_gate.cpp
@@ -0,0 +1,285 @@
+#include "connection_gate.hpp"
+
+#include "daemon_loop.hpp"
+#include "result_code.hpp"
+#include "socket_address.hpp"
+
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr guint sweep_interval_ms = 500;
+constexpr int listen_backlog = 1024;
+
+absl::Status settings_fault(std::string const &what, GError *error)
+{
+    gerror_ptr const owned(error);
+    return make_status(result_code::settings_invalid,
+                       what + ": " + (owned ? owned->message : "invalid"));
+}
+
+/// An answer is sent in small parts that must not wait for each other.
+void disable_delay(GSocketConnection *stream)
+{
+    g_socket_set_option(g_socket_connection_get_socket(stream), IPPROTO_TCP,
+                        TCP_NODELAY, 1, nullptr);
+}
+
+} // namespace
+
+struct connection_gate::callbacks
+{
+    static gboolean incoming(GSocketService *, GSocketConnection *stream,
+                             GObject *, gpointer self)
+    {
+        static_cast<connection_gate *>(self)->accept(stream);
+        return TRUE;
+    }
+
+    static gboolean peer_event(gint, GIOCondition, gpointer self)
+    {
+        static_cast<connection_gate *>(self)->read_peer_events();
+        return G_SOURCE_CONTINUE;
+    }
+
+    static gboolean sweep(gpointer self)
+    {
+        static_cast<connection_gate *>(self)->sweep();
+        return G_SOURCE_CONTINUE;
+    }
+
+    static void destroyed(gpointer self, GObject *stream)
+    {
+        static_cast<connection_gate *>(self)->forget(stream);
+    }
+};
+
+connection_gate::connection_gate(SoupServer *server, listener_limits limits)
+    : server_(server), limits_(limits), service_(g_socket_service_new()),
+      epoll_(epoll_create1(EPOLL_CLOEXEC))
+{
+    g_socket_service_stop(service_.get());
+    epoll_source_ = g_unix_fd_add(epoll_, G_IO_IN, callbacks::peer_event, this);
+    sweep_source_ = g_timeout_add(sweep_interval_ms, callbacks::sweep, this);
+}
+
+connection_gate::~connection_gate()
+{
+    stop();
+    g_signal_handlers_disconnect_by_data(service_.get(), this);
+    g_source_remove(epoll_source_);
+    g_source_remove(sweep_source_);
+    for (auto const &[stream, key] : by_stream_)
+    {
+        g_object_weak_unref(stream, callbacks::destroyed, this);
+    }
+    close(epoll_);
+}
+
+absl::Status connection_gate::start(std::string const &address,
+                                    tls_settings const &tls)
+{
+    tls_ = tls;
+    auto certificate = reload_certificate();
+    if (!certificate.ok())
+    {
+        return certificate;
+    }
+    auto const local = parse_socket_address(address);
+    if (!local)
+    {
+        return settings_fault("address " + address, nullptr);
+    }
+    GSocketAddress *effective = nullptr;
+    GError *error = nullptr;
+    g_socket_listener_set_backlog(G_SOCKET_LISTENER(service_.get()),
+                                  listen_backlog);
+    if (g_socket_listener_add_address(G_SOCKET_LISTENER(service_.get()),
+                                      local.get(), G_SOCKET_TYPE_STREAM,
+                                      G_SOCKET_PROTOCOL_TCP, nullptr,
+                                      &effective, &error) == FALSE)
+    {
+        return settings_fault("listen on " + address, error);
+    }
+    gobject_ptr<GSocketAddress> const bound(effective);
+    port_ = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(effective));
+    g_signal_connect(service_.get(), "incoming",
+                     G_CALLBACK(callbacks::incoming), this);
+    g_socket_service_start(service_.get());
+    return absl::OkStatus();
+}
+
+absl::Status connection_gate::reload_certificate()
+{
+    if (tls_.certificate_file.empty())
+    {
+        return absl::OkStatus();
+    }
+    GError *error = nullptr;
+    auto *certificate = g_tls_certificate_new_from_files(
+        tls_.certificate_file.c_str(), tls_.key_file.c_str(), &error);
+    if (certificate == nullptr)
+    {
+        return settings_fault("certificate " + tls_.certificate_file, error);
+    }
+    certificate_.reset(certificate);
+    return absl::OkStatus();
+}
+
+void connection_gate::stop()
+{
+    g_socket_service_stop(service_.get());
+    g_socket_listener_close(G_SOCKET_LISTENER(service_.get()));
+}
+
+void connection_gate::accept(GSocketConnection *stream)
+{
+    if (connections_.size() >=
+        static_cast<std::size_t>(limits_.max_connections))
+    {
+        ++refused_;
+        g_io_stream_close(G_IO_STREAM(stream), nullptr, nullptr);
+        return;
+    }
+    auto *remote = g_socket_connection_get_remote_address(stream, nullptr);
+    if (remote == nullptr)
+    {
+        return;
+    }
+    disable_delay(stream);
+    connection item;
+    item.remote.reset(remote);
+    item.stream = stream;
+    item.deadline = daemon_loop::clock_now() + limits_.request_timeout;
+    connections_.emplace(remote, std::move(item));
+    by_stream_.emplace(G_OBJECT(stream), remote);
+    g_object_weak_ref(G_OBJECT(stream), callbacks::destroyed, this);
+    watch_peer(stream, remote);
+    hand_over(stream, remote);
+}
+
+void connection_gate::hand_over(GSocketConnection *stream,
+                                GSocketAddress *remote)
+{
+    gobject_ptr<GSocketAddress> const local(
+        g_socket_connection_get_local_address(stream, nullptr));
+    auto transport = gobject_share(G_IO_STREAM(stream));
+    if (certificate_)
+    {
+        auto *tls = g_tls_server_connection_new(transport.get(),
+                                                certificate_.get(), nullptr);
+        if (tls == nullptr)
+        {
+            return;
+        }
+        transport.reset(tls);
+    }
+    soup_server_accept_iostream(server_, transport.get(), local.get(), remote,
+                                nullptr);
+}
+
+void connection_gate::watch_peer(GSocketConnection *stream,
+                                 connection_key key) const
+{
+    auto const socket = g_socket_get_fd(g_socket_connection_get_socket(stream));
+    epoll_event event{};
+    event.events = EPOLLRDHUP | EPOLLET;
+    event.data.ptr = key;
+    epoll_ctl(epoll_, EPOLL_CTL_ADD, socket, &event);
+}
+
+void connection_gate::read_peer_events()
+{
+    constexpr int most = 64;
+    std::array<epoll_event, most> events{};
+    auto const count = epoll_wait(epoll_, events.data(), most, 0);
+    std::for_each_n(events.begin(), std::max(count, 0),
+                    [this](epoll_event const &event)
+                    {
+                        auto *key =
+                            static_cast<GSocketAddress *>(event.data.ptr);
+                        auto const found = connections_.find(key);
+                        if (found == connections_.end() ||
+                            std::exchange(found->second.peer_closed, true))
+                        {
+                            return;
+                        }
+                        if (on_peer_closed)
+                        {
+                            on_peer_closed(key);
+                        }
+                    });
+}
+
+void connection_gate::expect_within(connection_key key, duration time)
+{
+    auto const found = connections_.find(key);
+    if (found != connections_.end())
+    {
+        found->second.deadline = daemon_loop::clock_now() + time;
+    }
+}
+
+void connection_gate::expect_nothing(connection_key key)
+{
+    auto const found = connections_.find(key);
+    if (found != connections_.end())
+    {
+        found->second.deadline = instant::max();
+    }
+}
+
+void connection_gate::cut(connection_key key)
+{
+    auto const found = connections_.find(key);
+    if (found != connections_.end())
+    {
+        auto *socket = g_socket_connection_get_socket(found->second.stream);
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
+}
+
+bool connection_gate::peer_closed(connection_key key) const
+{
+    auto const found = connections_.find(key);
+    return found != connections_.end() && found->second.peer_closed;
+}
+
+void connection_gate::sweep()
+{
+    auto const now = daemon_loop::clock_now();
+    std::vector<connection_key> late;
+    for (auto const &[key, item] : connections_)
+    {
+        if (item.deadline <= now)
+        {
+            late.push_back(key);
+        }
+    }
+    std::ranges::for_each(late, [this](connection_key key) { cut(key); });
+}
+
+void connection_gate::forget(GObject *stream)
+{
+    auto const found = by_stream_.find(stream);
+    if (found != by_stream_.end())
+    {
+        connections_.erase(found->second);
+        by_stream_.erase(found);
+    }
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/daemon_process.hpp
@@ -0,0 +1,77 @@
+#ifndef AGATELEDGE_DAEMON_PROCESS_HPP
+#define AGATELEDGE_DAEMON_PROCESS_HPP
+
+#include "caller_listener.hpp"
+#include "daemon_loop.hpp"
+#include "engine_client.hpp"
+#include "http_client.hpp"
+#include "ids.hpp"
+#include "service_client.hpp"
+#include "settings.hpp"
+#include "signing_keys.hpp"
+#include "table_client.hpp"
+#include "world.hpp"
+
+#include "absl/status/status.h"
+
+#include <cstdint>
+#include <functional>
+
+namespace agateledge
+{
+
+/// One daemon with its adapters on the default GLib main context. Several may
+/// run in one process.
+class daemon_process
+{
+public:
+    /// @param config settings of the daemon
+    /// @param incarnation start time; higher than that of earlier daemons of
+    ///        the same name
+    /// @param seed seed of the daemon's random decisions
+    daemon_process(settings config, incarnation_number incarnation,
+                   std::uint64_t seed);
+    ~daemon_process();
+    daemon_process(daemon_process const &) = delete;
+    daemon_process &operator=(daemon_process const &) = delete;
+
+    /// Reads the keys, begins to listen and puts the initial configuration in
+    /// force.
+    ///
+    /// @return `settings_invalid` when a setting cannot be used
+    absl::Status start();
+
+    /// Reads keys and certificates again. The old ones stay on a failure.
+    absl::Status reload();
+
+    /// Begins a graceful shutdown; `on_stopped` runs at its end.
+    void shut_down();
+
+    world &state() { return state_; }
+    daemon_loop &loop() { return loop_; }
+    http_client &http() { return http_; }
+    caller_listener &callers() { return callers_; }
+
+    /// Called once the shutdown has finished.
+    std::function<void()> on_stopped;
+
+private:
+    void install_handlers();
+    absl::Status load_keys();
+    void check_stopped();
+
+    settings config_;
+    world state_;
+    daemon_loop loop_;
+    http_client http_;
+    signing_keys request_keys_;
+    caller_listener callers_;
+    engine_client engines_;
+    service_client services_;
+    table_client table_;
+    unsigned stop_timer_ = 0;
+};
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/gobject_ptr.hpp
@@ -0,0 +1,44 @@
+#ifndef AGATELEDGE_GOBJECT_PTR_HPP
+#define AGATELEDGE_GOBJECT_PTR_HPP
+
+#include <glib-object.h>
+
+#include <memory>
+
+namespace agateledge
+{
+
+/// Drops one reference of a GObject.
+struct gobject_unref
+{
+    void operator()(gpointer object) const { g_object_unref(object); }
+};
+
+/// Owns one reference of a GObject.
+template <class Object>
+using gobject_ptr = std::unique_ptr<Object, gobject_unref>;
+
+/// @return an owner of a new reference to `object`
+template <class Object>
+gobject_ptr<Object> gobject_share(Object *object)
+{
+    return gobject_ptr<Object>(static_cast<Object *>(g_object_ref(object)));
+}
+
+struct gerror_free
+{
+    void operator()(GError *error) const { g_error_free(error); }
+};
+
+using gerror_ptr = std::unique_ptr<GError, gerror_free>;
+
+struct gfree
+{
+    void operator()(gpointer memory) const { g_free(memory); }
+};
+
+using gchar_ptr = std::unique_ptr<gchar, gfree>;
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/http_call.cpp
@@ -0,0 +1,251 @@
+#include "http_call.hpp"
+
+#include <algorithm>
+
+namespace agateledge
+{
+
+namespace
+{
+
+using call_ref = std::shared_ptr<http_call>;
+
+call_ref take_ref(gpointer data)
+{
+    std::unique_ptr<call_ref> const holder(static_cast<call_ref *>(data));
+    return *holder;
+}
+
+void set_body(SoupMessage *message, shared_text const &body)
+{
+    if (!body)
+    {
+        return;
+    }
+    auto *kept = new shared_text(body);
+    GBytes *bytes = g_bytes_new_with_free_func(
+        body->data(), body->size(),
+        [](gpointer data) { delete static_cast<shared_text *>(data); }, kept);
+    soup_message_set_request_body_from_bytes(message, "application/json",
+                                             bytes);
+    g_bytes_unref(bytes);
+}
+
+SoupMessage *make_message(http_request const &request)
+{
+    auto const url = "http://" + request.address + request.path;
+    auto *message = soup_message_new(request.method.c_str(), url.c_str());
+    if (message == nullptr)
+    {
+        return nullptr;
+    }
+    soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+    if (request.new_connection)
+    {
+        soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+    }
+    auto *headers = soup_message_get_request_headers(message);
+    for (auto const &[name, value] : request.headers)
+    {
+        soup_message_headers_replace(headers, name.c_str(), value.c_str());
+    }
+    set_body(message, request.body);
+    return message;
+}
+
+} // namespace
+
+struct http_call::callbacks
+{
+    static void connected(SoupMessage *, gpointer data)
+    {
+        auto *call = static_cast<http_call *>(data);
+        call->connected_ = true;
+        if (!call->total_bound_)
+        {
+            call->stop_timer();
+        }
+    }
+
+    static void sent(GObject *session, GAsyncResult *result, gpointer data)
+    {
+        auto const call = take_ref(data);
+        GError *error = nullptr;
+        auto *stream =
+            soup_session_send_finish(SOUP_SESSION(session), result, &error);
+        gerror_ptr const failure(error);
+        if (stream != nullptr)
+        {
+            call->opened(stream);
+            return;
+        }
+        call->fail();
+    }
+
+    static void read(GObject *stream, GAsyncResult *result, gpointer data)
+    {
+        auto const call = take_ref(data);
+        GError *error = nullptr;
+        auto const count =
+            g_input_stream_read_finish(G_INPUT_STREAM(stream), result, &error);
+        gerror_ptr const failure(error);
+        call->reading_ = false;
+        call->received(count);
+    }
+
+    static gboolean timed_out(gpointer data)
+    {
+        auto const call = static_cast<http_call *>(data)->shared_from_this();
+        call->timer_ = 0;
+        call->fail();
+        return G_SOURCE_REMOVE;
+    }
+};
+
+http_call::http_call(http_call_handlers handlers)
+    : handlers_(std::move(handlers)), cancellable_(g_cancellable_new())
+{
+}
+
+http_call::~http_call()
+{
+    stop_timer();
+    if (message_)
+    {
+        g_signal_handlers_disconnect_by_data(message_.get(), this);
+    }
+}
+
+void http_call::start(SoupSession *session, http_request const &request)
+{
+    message_.reset(make_message(request));
+    if (!message_)
+    {
+        start_timer(duration(0));
+        return;
+    }
+    g_signal_connect(message_.get(), "starting",
+                     G_CALLBACK(callbacks::connected), this);
+    total_bound_ = request.total_timeout.count() > 0;
+    start_timer(total_bound_ ? request.total_timeout : request.connect_timeout);
+    soup_session_send_async(session, message_.get(), G_PRIORITY_DEFAULT,
+                            cancellable_.get(), callbacks::sent,
+                            new call_ref(shared_from_this()));
+}
+
+void http_call::start_timer(duration timeout)
+{
+    auto const delay = std::chrono::ceil<milliseconds>(timeout).count();
+    timer_ =
+        g_timeout_add(static_cast<guint>(delay), callbacks::timed_out, this);
+}
+
+void http_call::stop_timer()
+{
+    if (timer_ != 0)
+    {
+        g_source_remove(std::exchange(timer_, 0));
+    }
+}
+
+void http_call::cancel()
+{
+    ended_ = true;
+    handlers_ = {};
+    stop_timer();
+    g_cancellable_cancel(cancellable_.get());
+    if (!reading_)
+    {
+        stream_.reset();
+    }
+}
+
+void http_call::resume()
+{
+    paused_ = false;
+    read_next();
+}
+
+void http_call::opened(GInputStream *stream)
+{
+    stream_.reset(stream);
+    if (ended_)
+    {
+        stream_.reset();
+        return;
+    }
+    if (handlers_.on_status)
+    {
+        handlers_.on_status(
+            static_cast<int>(soup_message_get_status(message_.get())));
+    }
+    read_next();
+}
+
+void http_call::read_next()
+{
+    if (paused_ || reading_ || ended_ || !stream_)
+    {
+        return;
+    }
+    reading_ = true;
+    g_input_stream_read_async(
+        stream_.get(), buffer_.data(), buffer_.size(), G_PRIORITY_DEFAULT,
+        cancellable_.get(), callbacks::read, new call_ref(shared_from_this()));
+}
+
+void http_call::received(gssize count)
+{
+    if (ended_)
+    {
+        stream_.reset();
+        return;
+    }
+    if (count < 0)
+    {
+        fail();
+        return;
+    }
+    if (count == 0)
+    {
+        finish(http_outcome::answered);
+        return;
+    }
+    if (handlers_.on_bytes)
+    {
+        handlers_.on_bytes({buffer_.data(), static_cast<std::size_t>(count)});
+    }
+    read_next();
+}
+
+void http_call::fail()
+{
+    finish(connected_ ? http_outcome::failed_after_send
+                      : http_outcome::failed_before_send);
+}
+
+void http_call::finish(http_outcome outcome)
+{
+    if (ended_)
+    {
+        return;
+    }
+    auto const on_end = std::move(handlers_.on_end);
+    bool const whole = outcome == http_outcome::answered;
+    ended_ = true;
+    stop_timer();
+    if (whole)
+    {
+        stream_.reset();
+    }
+    else
+    {
+        cancel();
+    }
+    if (on_end)
+    {
+        on_end(outcome);
+    }
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/http_call.hpp
@@ -0,0 +1,113 @@
+#ifndef AGATELEDGE_HTTP_CALL_HPP
+#define AGATELEDGE_HTTP_CALL_HPP
+
+#include "gobject_ptr.hpp"
+#include "inbox.hpp"
+#include "time.hpp"
+
+#include <libsoup/soup.h>
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace agateledge
+{
+
+/// Request of an outgoing HTTP call.
+struct http_request
+{
+    std::string method = "GET";
+    /// IP address and port.
+    std::string address;
+    /// Path with the query.
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> headers;
+    /// JSON body; null for none.
+    shared_text body;
+    /// Bound on the connect when `total_timeout` is 0.
+    duration connect_timeout = seconds(2);
+    /// Bound on the whole call; 0 for none.
+    duration total_timeout{};
+    /// Uses no kept connection, so that a failure before the connect is
+    /// certainly a failure before a byte was sent.
+    bool new_connection = false;
+};
+
+/// How an outgoing HTTP call ended.
+enum class http_outcome
+{
+    /// The whole reply was read.
+    answered,
+    /// No connection was made, so that no byte was sent.
+    failed_before_send,
+    /// The call failed after bytes may have been sent.
+    failed_after_send,
+};
+
+/// Handlers of an outgoing HTTP call; none runs after `http_call::cancel`.
+struct http_call_handlers
+{
+    /// The reply's status; before its body.
+    std::function<void(int)> on_status;
+    /// Part of the reply's body.
+    std::function<void(std::string_view)> on_bytes;
+    /// The call ended; runs once.
+    std::function<void(http_outcome)> on_end;
+};
+
+/// One outgoing HTTP call whose reply is read in parts. Reading can be paused,
+/// so that the sender is held back by TCP flow control.
+class http_call : public std::enable_shared_from_this<http_call>
+{
+public:
+    explicit http_call(http_call_handlers handlers);
+    ~http_call();
+    http_call(http_call const &) = delete;
+    http_call &operator=(http_call const &) = delete;
+
+    /// Sends the request.
+    void start(SoupSession *session, http_request const &request);
+
+    /// Ends the call; no handler runs after this.
+    void cancel();
+
+    /// Reads no further until `resume`; bytes already read are still delivered.
+    void pause() { paused_ = true; }
+
+    void resume();
+
+private:
+    struct callbacks;
+
+    static constexpr std::size_t read_size = std::size_t{8} * 1024;
+
+    void start_timer(duration timeout);
+    void stop_timer();
+    void opened(GInputStream *stream);
+    void read_next();
+    void received(gssize count);
+    void finish(http_outcome outcome);
+    void fail();
+
+    http_call_handlers handlers_;
+    gobject_ptr<GCancellable> cancellable_;
+    gobject_ptr<SoupMessage> message_;
+    gobject_ptr<GInputStream> stream_;
+    std::array<char, read_size> buffer_{};
+    unsigned timer_ = 0;
+    bool connected_ = false;
+    bool total_bound_ = false;
+    bool paused_ = false;
+    bool reading_ = false;
+    bool ended_ = false;
+};
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/http_client.hpp
@@ -0,0 +1,58 @@
+#ifndef AGATELEDGE_HTTP_CLIENT_HPP
+#define AGATELEDGE_HTTP_CLIENT_HPP
+
+#include "gobject_ptr.hpp"
+#include "http_call.hpp"
+
+#include <libsoup/soup.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace agateledge
+{
+
+/// Whole reply of an outgoing HTTP call.
+struct http_reply
+{
+    http_outcome outcome = http_outcome::answered;
+    int status = 0;
+    std::string body;
+};
+
+/// Outgoing HTTP calls of one daemon, over connections that are kept open.
+class http_client
+{
+public:
+    http_client();
+    ~http_client();
+    http_client(http_client const &) = delete;
+    http_client &operator=(http_client const &) = delete;
+
+    /// Starts a call whose reply is read in parts.
+    std::shared_ptr<http_call> open(http_request const &request,
+                                    http_call_handlers handlers);
+
+    /// Ends a call of `open`; none of its handlers runs after this.
+    void cancel(std::shared_ptr<http_call> const &call);
+
+    /// Starts a call and collects its reply. A reply longer than
+    /// `max_reply_bytes` counts as failed after the send.
+    ///
+    /// @param on_reply runs once, unless the client is destroyed before
+    void send(http_request const &request,
+              std::function<void(http_reply const &)> on_reply);
+
+    static constexpr std::size_t max_reply_bytes = std::size_t{16} << 20;
+
+private:
+    gobject_ptr<SoupSession> session_;
+    std::unordered_set<std::shared_ptr<http_call>> open_;
+};
+
+} // namespace agateledge
+
+#endif
