Add the settings loader, the JSON log, the HTTP stand-ins and check

Cause: a daemon needs checked settings and something to talk to over sockets. Change: load_settings reports all faults of a file with file, line, key and what is allowed; example settings of both deployments; stand-ins of engine, plain service, table service, membership, object store and weight store over libsoup; JSON-line log over log4cplus; command line with check. Conclusion: the daemon's adapters can be run against sockets.

--- /dev/null
+++ b/src/http_exchange.hpp
@@ -0,0 +1,76 @@
+#ifndef AGATELEDGE_HTTP_EXCHANGE_HPP
+#define AGATELEDGE_HTTP_EXCHANGE_HPP
+
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace agateledge
+{
+
+/// One request to an `http_server` and its reply. Kept in a shared pointer
+/// until the reply has been written or the client has gone.
+class http_exchange
+{
+public:
+    /// @param message request; a reference is held
+    /// @param query parsed query string, or null
+    http_exchange(SoupServerMessage *message, GHashTable *query);
+    ~http_exchange();
+    http_exchange(http_exchange const &) = delete;
+    http_exchange &operator=(http_exchange const &) = delete;
+
+    std::string method() const;
+    std::string path() const;
+    std::string body() const;
+
+    /// @return value of a request header, or an empty string
+    std::string header(char const *name) const;
+
+    /// @return value of a query parameter, or an empty string
+    std::string query(char const *name) const;
+
+    /// Sends the whole reply.
+    void reply(int status, std::string_view body,
+               char const *content_type = "application/json");
+
+    /// Begins a reply of server-sent events.
+    void begin_events();
+
+    /// Appends one event to the reply.
+    ///
+    /// @param data text of the event, without line breaks
+    void write_event(std::string_view data);
+
+    /// Ends a reply that `begin_events` began.
+    void end_events();
+
+    /// @return true once the client has closed the connection
+    bool closed() const { return closed_; }
+
+    /// Installs a hook that runs once when the client closes the connection or
+    /// the reply has been written.
+    void on_closed(std::function<void()> hook) { hook_ = std::move(hook); }
+
+    /// Holds the reply back until `reply` or `begin_events`, which may come
+    /// after the handler has returned.
+    void defer();
+
+private:
+    static void finished(SoupServerMessage *message, gpointer self);
+    void resume();
+
+    SoupServerMessage *message_;
+    GHashTable *query_;
+    std::function<void()> hook_;
+    gulong finished_handler_ = 0;
+    bool deferred_ = false;
+    bool closed_ = false;
+};
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/json_log.hpp
@@ -0,0 +1,35 @@
+#ifndef AGATELEDGE_JSON_LOG_HPP
+#define AGATELEDGE_JSON_LOG_HPP
+
+#include "outbox.hpp"
+
+#include "absl/status/status.h"
+
+#include <string>
+#include <string_view>
+
+namespace agateledge
+{
+
+/// Prepares the log: one JSON object a line on standard error, by log4cplus.
+///
+/// @param level "debug", "info", "warning" or "error"
+/// @return `settings_invalid` for another level
+absl::Status start_log(std::string_view level);
+
+/// Changes the level while the process runs.
+absl::Status set_log_level(std::string_view level);
+
+/// Writes one line.
+///
+/// @param daemon name of the daemon that the line is from
+void write_log_line(std::string const &daemon, log_entry const &entry);
+
+/// @return `entry` as one JSON object with the fields daemon, level, event and
+///         those of the entry; the time is added when it is written
+std::string log_entry_to_json(std::string const &daemon,
+                              log_entry const &entry);
+
+} // namespace agateledge
+
+#endif
--- a/src/run_command_line.cpp
+++ b/src/run_command_line.cpp
@@ -1,20 +1,66 @@
 #include "run_command_line.hpp"
 
-#include <cstdio>
+#include "command_options.hpp"
+#include "run_check.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace agateledge
 {
 
+namespace
+{
+
+struct subcommand
+{
+    std::string_view name;
+    std::string_view purpose;
+    int (*run)(std::vector<std::string> const &arguments);
+};
+
+constexpr std::array subcommands{
+    subcommand{"check", "checks a settings file", run_check},
+};
+
+void print_usage(std::ostream &out)
+{
+    out << "usage: agateledge SUBCOMMAND [options]\n\nsubcommands:\n";
+    std::ranges::for_each(
+        subcommands, [&out](subcommand const &command)
+        { out << "  " << command.name << "\t" << command.purpose << "\n"; });
+    out << "\n`agateledge SUBCOMMAND --help` lists its options.\n";
+}
+
+} // namespace
+
 int run_command_line(int argc, char **argv)
 {
-    if (argc == 2 && std::string_view(argv[1]) == "--version")
+    std::vector<std::string> const arguments(argv + std::min(argc, 2),
+                                             argv + argc);
+    std::string const name = argc < 2 ? "" : argv[1];
+    if (name == "--version")
+    {
+        std::cout << "agateledge " AGATELEDGE_VERSION "\n";
+        return exit_success;
+    }
+    if (name == "--help")
+    {
+        print_usage(std::cout);
+        return exit_success;
+    }
+    auto const found = std::ranges::find(subcommands, name, &subcommand::name);
+    if (found == subcommands.end())
     {
-        std::puts("agateledge " AGATELEDGE_VERSION);
-        return 0;
+        std::cerr << "unknown subcommand \"" << name << "\"\n";
+        print_usage(std::cerr);
+        return exit_usage;
     }
-    std::fputs("usage: agateledge serve|dev|ctl|check|report\n", stderr);
-    return 2;
+    return found->run(arguments);
 }
 
 } // namespace agateledge
--- /dev/null
+++ b/src/settings_reader.cpp
@@ -0,0 +1,270 @@
+#include "settings_reader.hpp"
+
+#include "http_server.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <sstream>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+template <class Number>
+std::string range_text(Number least, Number most)
+{
+    std::ostringstream text;
+    text << "from " << least << " to " << most;
+    return text.str();
+}
+
+bool is_socket_address(std::string const &text)
+{
+    auto *address = parse_socket_address(text);
+    if (address == nullptr)
+    {
+        return false;
+    }
+    g_object_unref(address);
+    return true;
+}
+
+} // namespace
+
+settings_reader::settings_reader(toml::table const &table, std::string file,
+                                 std::string path,
+                                 std::vector<std::string> &faults)
+    : table_(table), file_(std::move(file)), path_(std::move(path)),
+      faults_(faults)
+{
+}
+
+std::string settings_reader::full_key(std::string const &key) const
+{
+    if (key.empty())
+    {
+        return path_;
+    }
+    return path_.empty() ? key : path_ + "." + key;
+}
+
+void settings_reader::report_at(toml::source_region const &source,
+                                std::string const &key, std::string const &text)
+{
+    std::ostringstream line;
+    line << file_ << ":" << source.begin.line << ": " << full_key(key) << ": "
+         << text;
+    faults_.push_back(line.str());
+}
+
+void settings_reader::report(char const *key, std::string const &text)
+{
+    auto const *node = table_.get(key);
+    report_at(node == nullptr ? table_.source() : node->source(), key, text);
+}
+
+toml::node const *settings_reader::find(char const *key)
+{
+    known_.insert(key);
+    return table_.get(key);
+}
+
+void settings_reader::read(char const *key, std::string &value, bool required)
+{
+    auto const *node = find(key);
+    if (node == nullptr)
+    {
+        if (required)
+        {
+            report(key, "is missing; a text is expected");
+        }
+        return;
+    }
+    auto const text = node->value_exact<std::string>();
+    if (!text || (required && text->empty()))
+    {
+        report(key, "must be a text that is not empty");
+        return;
+    }
+    value = *text;
+}
+
+void settings_reader::read_choice(char const *key, std::string &value,
+                                  std::vector<std::string> const &allowed)
+{
+    auto text = value;
+    read(key, text);
+    if (std::ranges::find(allowed, text) != allowed.end())
+    {
+        value = text;
+        return;
+    }
+    std::string list;
+    std::ranges::for_each(allowed, [&list](std::string const &item)
+                          { list += (list.empty() ? "" : ", ") + item; });
+    report(key, "\"" + text + "\" is not one of " + list);
+}
+
+void settings_reader::read_address(char const *key, std::string &value,
+                                   bool required)
+{
+    auto text = value;
+    read(key, text, required);
+    if (!text.empty() && !is_socket_address(text))
+    {
+        report(key, "\"" + text +
+                        "\" is not an IP address and port such as "
+                        "\"127.0.0.1:8080\"");
+        return;
+    }
+    value = text;
+}
+
+void settings_reader::read_sha256(char const *key, std::string &value)
+{
+    constexpr std::size_t digits = 64;
+    std::string text;
+    read(key, text, true);
+    bool const valid =
+        text.size() == digits &&
+        std::ranges::all_of(
+            text, [](unsigned char c)
+            { return std::isdigit(c) != 0 || (c >= 'a' && c <= 'f'); });
+    if (!text.empty() && !valid)
+    {
+        report(key, "must be a SHA-256 of 64 lower-case hexadecimal digits");
+        return;
+    }
+    value = text;
+}
+
+void settings_reader::read(char const *key, bool &value)
+{
+    auto const *node = find(key);
+    if (node == nullptr)
+    {
+        return;
+    }
+    auto const flag = node->value_exact<bool>();
+    if (!flag)
+    {
+        report(key, "must be true or false");
+        return;
+    }
+    value = *flag;
+}
+
+void settings_reader::read(char const *key, std::int64_t &value,
+                           std::int64_t least, std::int64_t most)
+{
+    auto const *node = find(key);
+    if (node == nullptr)
+    {
+        return;
+    }
+    auto const number = node->value_exact<std::int64_t>();
+    if (!number || *number < least || *number > most)
+    {
+        report(key, "must be a whole number " + range_text(least, most));
+        return;
+    }
+    value = *number;
+}
+
+void settings_reader::read(char const *key, int &value, int least, int most)
+{
+    std::int64_t number = value;
+    read(key, number, std::int64_t{least}, std::int64_t{most});
+    value = static_cast<int>(number);
+}
+
+void settings_reader::read(char const *key, double &value, double least,
+                           double most)
+{
+    auto const *node = find(key);
+    if (node == nullptr)
+    {
+        return;
+    }
+    auto const number =
+        node->is_number() ? node->value<double>() : std::optional<double>();
+    if (!number || !(*number >= least && *number <= most))
+    {
+        report(key, "must be a number " + range_text(least, most));
+        return;
+    }
+    value = *number;
+}
+
+void settings_reader::read_milliseconds(char const *key, duration &value)
+{
+    constexpr std::int64_t most = milliseconds(hours(24)).count();
+    auto number = std::chrono::duration_cast<milliseconds>(value).count();
+    read(key, number, std::int64_t{0}, most);
+    value = milliseconds(number);
+}
+
+toml::table const *settings_reader::table(char const *key)
+{
+    auto const *node = find(key);
+    if (node == nullptr)
+    {
+        return nullptr;
+    }
+    if (!node->is_table())
+    {
+        report(key, std::string("must be a table: [") + key + "]");
+    }
+    return node->as_table();
+}
+
+std::vector<toml::table const *> settings_reader::tables(char const *key)
+{
+    std::vector<toml::table const *> out;
+    auto const *node = find(key);
+    if (node == nullptr)
+    {
+        return out;
+    }
+    auto const *array = node->as_array();
+    bool const valid =
+        array != nullptr &&
+        std::all_of(array->begin(), array->end(),
+                    [](toml::node const &item) { return item.is_table(); });
+    if (!valid)
+    {
+        report(key, std::string("must be a list of tables: [[") + key + "]]");
+        return out;
+    }
+    std::transform(array->begin(), array->end(), std::back_inserter(out),
+                   [](toml::node const &item) { return item.as_table(); });
+    return out;
+}
+
+settings_reader settings_reader::below(toml::table const &table,
+                                       std::string const &key) const
+{
+    return {table, file_, full_key(key), faults_};
+}
+
+void settings_reader::finish()
+{
+    for (auto const &[key, node] : table_)
+    {
+        std::string const name(key.str());
+        if (!known_.contains(name))
+        {
+            std::string list;
+            std::ranges::for_each(known_,
+                                  [&list](std::string const &item) {
+                                      list += (list.empty() ? "" : ", ") + item;
+                                  });
+            report_at(node.source(), name, "unknown key; allowed: " + list);
+        }
+    }
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/standin_service_server.hpp
@@ -0,0 +1,38 @@
+#ifndef AGATELEDGE_STANDIN_SERVICE_SERVER_HPP
+#define AGATELEDGE_STANDIN_SERVICE_SERVER_HPP
+
+#include "http_server.hpp"
+#include "standin_service.hpp"
+#include "time.hpp"
+
+#include <string>
+
+namespace agateledge
+{
+
+/// One endpoint of the plain service stand-in, on a socket of its own. Several
+/// endpoints share one model. GET /effects lists the effects by key, for tests.
+class standin_service_server
+{
+public:
+    /// @param model the service; outlives the server
+    /// @param latency time from a call's effect to its answer
+    explicit standin_service_server(standin_service &model,
+                                    duration latency = milliseconds(2));
+
+    /// @param address IP address and port; port 0 takes a free one
+    absl::Status listen(std::string const &address);
+    std::string address() const { return server_.address(); }
+
+private:
+    void serve(std::shared_ptr<http_exchange> const &request);
+    void list_effects(std::shared_ptr<http_exchange> const &request) const;
+
+    standin_service &model_;
+    duration latency_;
+    http_server server_;
+};
+
+} // namespace agateledge
+
+#endif
