--- /dev/null
+++ b/harness/bench_run.hpp
@@ -0,0 +1,60 @@
+#ifndef AGATELEDGE_BENCH_RUN_HPP
+#define AGATELEDGE_BENCH_RUN_HPP
+
+#include "bench_scenario.hpp"
+#include "bench_score.hpp"
+#include "order_board.hpp"
+#include "virtual_deployment.hpp"
+#include "workload.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace agateledge
+{
+
+/// One run of a scenario with a policy in virtual time.
+class bench_run
+{
+public:
+    /// @param load deployment with the initial roles
+    bench_run(workload const &load, bench_scenario scenario,
+              std::uint64_t seed);
+
+    /// Runs the scenario to its end and then until the open requests ended, for
+    /// at most 60 s.
+    bench_score run();
+
+    virtual_deployment &deployment() { return deployment_; }
+    order_board &orders() { return orders_; }
+    bench_scenario const &scenario() const { return scenario_; }
+
+    /// @return length of the answer to a request, which only the engine knows
+    int output_tokens(std::uint64_t request_seed) const;
+
+private:
+    void plan_arrival(instant when);
+    void plan_booking(instant when);
+    void arrive();
+    void book();
+    void plan_faults();
+    void end_streams(std::string const &engine, bool only_remote);
+    bool scored(instant when) const;
+
+    workload const &load_;
+    bench_scenario scenario_;
+    request_source source_;
+    random_source random_;
+    virtual_deployment deployment_;
+    order_board orders_;
+    score_board scores_;
+    std::unordered_map<std::uint64_t, int> lengths_;
+    std::uint64_t last_booking_ = 0;
+};
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/harness/bench_score.hpp
@@ -0,0 +1,87 @@
+#ifndef AGATELEDGE_BENCH_SCORE_HPP
+#define AGATELEDGE_BENCH_SCORE_HPP
+
+#include "configuration.hpp"
+#include "outbox.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace agateledge
+{
+
+/// Times of the answered requests of one class, in seconds, and its counts.
+struct class_score
+{
+    int requests = 0;
+    int in_time = 0;
+    int late = 0;
+    int refused = 0;
+    int unfinished = 0;
+    std::vector<double> first_token;
+    std::vector<double> token_interval;
+    std::vector<double> finish;
+};
+
+/// Result of one bench run.
+struct bench_score
+{
+    /// Weighted share of the requests that were answered whole and in time.
+    double goodput = 0;
+    /// The same as a weighted rate, for comparisons between loads.
+    double goodput_per_second = 0;
+    std::map<std::string, class_score> classes;
+    int role_changes = 0;
+    double seconds_away = 0;
+    std::int64_t prefilled_tokens = 0;
+    std::int64_t cached_tokens = 0;
+    std::int64_t generated_tokens = 0;
+    /// Answer tokens of requests that were not answered in time.
+    std::int64_t wasted_tokens = 0;
+};
+
+/// Follows the replies to the requests of a run.
+class score_board
+{
+public:
+    explicit score_board(configuration const &config);
+
+    /// Adds a request that counts.
+    void expect(request_number request, std::string const &class_name,
+                instant now);
+
+    /// Takes note of a reply.
+    void record(caller_reply const &reply, instant now);
+
+    /// @return requests that have not ended
+    std::size_t open() const { return open_.size(); }
+
+    /// @param seconds length of the scored part of the run
+    bench_score total(double seconds) const;
+
+private:
+    struct progress
+    {
+        request_class const *kind = nullptr;
+        instant arrived_at{};
+        instant first_token_at{};
+        int tokens = 0;
+    };
+
+    void finish(progress const &request, instant now);
+
+    std::map<std::string, request_class> kinds_;
+    std::unordered_map<request_number, progress> open_;
+    std::map<std::string, class_score> classes_;
+    std::int64_t wasted_tokens_ = 0;
+};
+
+/// @return the value below which `share` of the values lie; 0 for none
+double percentile(std::vector<double> values, double share);
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/harness/order_board.cpp
@@ -0,0 +1,69 @@
+#include "order_board.hpp"
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr duration poll_interval = milliseconds(100);
+/// Time after which the change is sent although streams are left.
+constexpr duration drain_timeout = seconds(60);
+
+} // namespace
+
+bool order_board::take(engine_order const &order)
+{
+    if (open_.contains(order.engine))
+    {
+        return false;
+    }
+    open_[order.engine] = {order, deployment_.now(), false};
+    mark(order.engine, true);
+    deployment_.at(deployment_.now() + poll_interval,
+                   [this, name = order.engine] { poll(name); });
+    return true;
+}
+
+void order_board::mark(std::string const &engine, bool changing)
+{
+    for (auto &daemon : deployment_.daemons())
+    {
+        auto &state = *daemon.state;
+        state.engines.at(*state.engines.find(engine)).changing = changing;
+        state.candidates.invalidate();
+    }
+}
+
+void order_board::poll(std::string const &engine)
+{
+    auto &change = open_.at(engine);
+    auto &model = *deployment_.engines().at(engine).model;
+    auto const now = deployment_.now();
+    auto const load = model.load();
+    bool const empty = load.running + load.waiting == 0;
+    if (!change.sent && (empty || now - change.begun > drain_timeout))
+    {
+        change.order.expected_generation = load.generation;
+        change.order.id = engine + ":" + std::to_string(load.generation);
+        change.order.fencing = fencing_number(1);
+        model.order(change.order, now);
+        change.sent = true;
+        ++changes_;
+    }
+    std::vector<standin_event> none;
+    if (change.sent && empty)
+    {
+        model.advance(now, none);
+    }
+    if (change.sent && model.load().ready)
+    {
+        time_away_ += now - change.begun;
+        open_.erase(engine);
+        mark(engine, false);
+        return;
+    }
+    deployment_.at(now + poll_interval, [this, engine] { poll(engine); });
+}
+
+} // namespace agateledge
--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -198,7 +198,7 @@
     auto &engine = engines_.at(call.engine);
     engine_event failure;
     failure.attempt = call.attempt;
-    if (!engine.reachable)
+    if (!reachable(daemon, call.engine))
     {
         failure.kind = engine_event_kind::failed_before_send;
         deliver_event(daemon, failure);
@@ -231,6 +231,39 @@
        });
 }
 
+void virtual_deployment::deliver_events(std::size_t daemon,
+                                        std::vector<engine_event> events)
+{
+    if (events.empty())
+    {
+        return;
+    }
+    // The queue copies its actions, so that the events are shared.
+    auto const batch =
+        std::make_shared<std::vector<engine_event>>(std::move(events));
+    at(now_ + delays_.within_data_centre,
+       [this, daemon, batch]
+       {
+           if (!daemons_[daemon].alive)
+           {
+               return;
+           }
+           auto &in = daemons_[daemon].state->in.engine_events;
+           std::ranges::move(*batch, std::back_inserter(in));
+           plan_tick(daemon, now_);
+       });
+}
+
+bool virtual_deployment::reachable(std::size_t daemon,
+                                   std::string const &engine) const
+{
+    auto const &target = engines_.at(engine);
+    auto const &from = daemons_[daemon].state->identity.data_centre;
+    bool const cut = isolated_.contains(from) ||
+                     isolated_.contains(target.data_centre);
+    return target.reachable && (!cut || from == target.data_centre);
+}
+
 void virtual_deployment::plan_step(std::string const &name)
 {
     auto &engine = engines_.at(name);
@@ -249,6 +282,7 @@
     engine.planned_step = instant::max();
     std::vector<standin_event> events;
     engine.model->advance(now_, events);
+    std::vector<std::vector<engine_event>> by_daemon(daemons_.size());
     for (auto &event : events)
     {
         auto const reader = engine.readers.find(event.stream_key);
@@ -257,15 +291,21 @@
             continue;
         }
         auto const [daemon, attempt] = reader->second;
-        if (event.kind == engine_event_kind::finished)
+        if (event.kind == engine_event_kind::finished ||
+            event.kind == engine_event_kind::prefilled)
         {
             engine.readers.erase(reader);
         }
-        if (engine.reachable)
+        if (reachable(daemon, name))
         {
-            deliver_event(daemon, to_engine_event(attempt, std::move(event)));
+            by_daemon[daemon].push_back(
+                to_engine_event(attempt, std::move(event)));
         }
     }
+    for (std::size_t i = 0; i < by_daemon.size(); ++i)
+    {
+        deliver_events(i, std::move(by_daemon[i]));
+    }
     plan_step(name);
 }
 
@@ -284,11 +324,15 @@
         at(now_ + delays_.load_report_lag,
            [this, report]
            {
-               for (auto &daemon : daemons_)
+               for (std::size_t i = 0; i < daemons_.size(); ++i)
                {
-                   daemon.state->in.load_reports.push_back(report);
+                   if (reachable(i, report.engine))
+                   {
+                       daemons_[i].state->in.load_reports.push_back(report);
+                   }
                }
            });
+        report_cache_events(engine);
     }
     for (std::size_t i = 0; i < daemons_.size(); ++i)
     {
@@ -297,6 +341,33 @@
     at(now_ + delays_.load_report_interval, [this] { report_loads(); });
 }
 
+void virtual_deployment::report_cache_events(virtual_engine &engine)
+{
+    auto events = std::make_shared<std::vector<cache_event>>(
+        engine.model->cache_events_after(engine.cache_sequence));
+    if (events->empty())
+    {
+        return;
+    }
+    engine.cache_sequence = events->back().sequence;
+    if (random_.uniform() < delays_.cache_event_loss)
+    {
+        return;
+    }
+    auto const name = engine.model->options().name;
+    std::ranges::for_each(*events, [&name](cache_event &event)
+                          { event.engine = name; });
+    at(now_ + delays_.load_report_lag,
+       [this, events]
+       {
+           for (auto &daemon : daemons_)
+           {
+               auto &in = daemon.state->in.cache_events;
+               in.insert(in.end(), events->begin(), events->end());
+           }
+       });
+}
+
 void virtual_deployment::send_service_call(std::size_t daemon,
                                            service_call const &call)
 {
--- a/harness/virtual_deployment.hpp
+++ b/harness/virtual_deployment.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
     instant planned_step = instant::max();
     /// Daemon and attempt that each stream's events go to.
     std::map<std::string, std::pair<std::size_t, attempt_number>> readers;
+    /// Last cache event that was reported.
+    std::uint64_t cache_sequence = 0;
 };
 
 /// Delays of a virtual deployment, one way.
@@ -49,6 +52,8 @@
     duration table_service = milliseconds(2);
     duration load_report_interval = milliseconds(200);
     duration load_report_lag = milliseconds(300);
+    /// Share of the batches of cache events that are lost.
+    double cache_event_loss = 0.05;
 };
 
 /// Runs the shipped decision code of a few daemons against the stand-ins in
@@ -85,6 +90,8 @@
     std::map<std::string, standin_service> &services() { return services_; }
     standin_table &table() { return table_; }
     virtual_delays &delays() { return delays_; }
+    /// Data centres that are cut off from the others.
+    std::set<std::string> &isolated() { return isolated_; }
 
     /// Called with each reply to a caller.
     std::function<void(std::size_t daemon, caller_reply const &)> on_reply;
@@ -124,7 +131,10 @@
     void plan_step(std::string const &engine);
     void advance_engine(std::string const &engine);
     void report_loads();
+    void report_cache_events(virtual_engine &engine);
     void deliver_event(std::size_t daemon, engine_event event);
+    void deliver_events(std::size_t daemon, std::vector<engine_event> events);
+    bool reachable(std::size_t daemon, std::string const &engine) const;
     duration delay_to(std::size_t daemon, std::string const &data_centre) const;
 
     random_source random_;
@@ -134,6 +144,7 @@
                         std::greater<>>
         queue_;
     virtual_delays delays_;
+    std::set<std::string> isolated_;
     std::vector<virtual_daemon> daemons_;
     std::map<std::string, virtual_engine> engines_;
     std::map<std::string, standin_service> services_;
--- a/src/dispatch_requests.cpp
+++ b/src/dispatch_requests.cpp
@@ -19,6 +19,16 @@
 /// has no finish deadline.
 constexpr duration default_call_timeout = seconds(10);
 
+/// Waiting time that outweighs one level of priority. A full-manual question
+/// at the third level passes new urgent requests after 30 s.
+constexpr duration ageing_per_priority = seconds(15);
+
+/// Requests without room that are tried before the rest of a lane waits.
+constexpr int max_blocked = 4;
+
+/// Time until a lane without room is tried again.
+constexpr duration lane_poll = milliseconds(5);
+
 engine_call make_call(world const &w, request_state const &request,
                       attempt_state const &attempt)
 {
@@ -39,6 +49,9 @@
     call.max_output_tokens = arrival.max_output_tokens;
     call.priority = request.kind.priority;
     call.seed = arrival.seed;
+    call.prefill_only = attempt.prefill_only;
+    call.import_from = request.kv_address;
+    call.import_key = request.kv_key;
     return call;
 }
 
@@ -54,6 +67,16 @@
     w.out.caller_replies.push_back(std::move(reply));
 }
 
+/// A prefill engine hands the prompt's KV cache over, unless no engine of the
+/// service generates or part of the answer exists already.
+bool runs_prefill_only(world const &w, request_state const &request,
+                       engine_index engine)
+{
+    return w.engines.at(engine).role() == engine_role::prefill &&
+           request.kv_key.empty() && request.delivered_tokens == 0 &&
+           w.candidates.generates(request.kind.service);
+}
+
 bool send_to_engine(world &w, request_state &request)
 {
     auto const engine = select_engine(w, request);
@@ -61,9 +84,14 @@
     {
         return false;
     }
-    auto const &attempt = begin_engine_attempt(w, request, *engine);
+    auto &attempt = begin_engine_attempt(w, request, *engine);
+    attempt.prefill_only = runs_prefill_only(w, request, *engine);
     announce(w, request, attempt);
     w.out.engine_calls.push_back(make_call(w, request, attempt));
+    // An attempt that fails computes the prompt anew: the exporting engine
+    // keeps the KV cache for one import only.
+    request.kv_address.clear();
+    request.kv_key.clear();
     return true;
 }
 
@@ -104,27 +132,58 @@
     return send_to_endpoint(w, request);
 }
 
-bool deadline_passed(world const &w, request_state const &request)
+/// @return time at which a request that has not begun cannot be in time
+instant expiry_of(request_state const &request)
 {
     auto const deadline = request.kind.finish_deadline;
-    return deadline.count() > 0 && !request.kind.may_wait &&
-           w.now - request.arrived_at > deadline;
+    bool const bounded = deadline.count() > 0 && !request.kind.may_wait;
+    return bounded ? request.arrived_at + deadline : instant::max();
 }
 
-/// @return true when the request leaves the queue
-bool step(world &w, request_number number)
+instant rank_of(world const &w, request_state const &request)
 {
-    auto *request = w.requests.find(number);
-    if (request == nullptr || request->phase != request_phase::waiting)
+    auto const level = w.hooks.plain_queue ? 0 : request.kind.priority;
+    return request.arrived_at + ageing_per_priority * level;
+}
+
+std::string lane_of(request_state const &request)
+{
+    auto const *phase = request.kv_key.empty() ? "/prompt" : "/decode";
+    return request.kind.service + phase;
+}
+
+void enqueue(world &w, request_number number)
+{
+    auto const *request = w.requests.find(number);
+    if (request != nullptr && request->phase == request_phase::waiting)
     {
-        return true;
+        w.queue.add(number, lane_of(*request), rank_of(w, *request),
+                    expiry_of(*request));
     }
-    if (deadline_passed(w, *request))
+}
+
+void refuse_expired(world &w)
+{
+    for (auto const number : w.queue.take_expired(w.now))
     {
+        auto const *request = w.requests.find(number);
+        if (request == nullptr || request->phase != request_phase::waiting)
+        {
+            continue;
+        }
         refuse_request(w, number,
                        request->attempts == 0 ? result_code::no_endpoint
                                               : result_code::deadline_exceeded,
                        "nothing took the request before its deadline");
+    }
+}
+
+/// @return true when the request leaves the queue
+bool step(world &w, request_number number)
+{
+    auto *request = w.requests.find(number);
+    if (request == nullptr || request->phase != request_phase::waiting)
+    {
         return true;
     }
     if (request->not_before > w.now)
@@ -135,18 +194,52 @@
     return dispatch(w, *request);
 }
 
+/// Sends the requests at the head of a lane until some find no room.
+void serve_lane(world &w, dispatch_queue::lane &lane)
+{
+    int blocked = 0;
+    auto next = lane.waiting.begin();
+    while (next != lane.waiting.end() && blocked < max_blocked)
+    {
+        auto const number = (next++)->second;
+        if (step(w, number))
+        {
+            w.queue.remove(number);
+            continue;
+        }
+        ++blocked;
+    }
+    if (blocked > 0)
+    {
+        lane.blocked_until = w.now + lane_poll;
+    }
+}
+
 } // namespace
 
 void dispatch_requests(world &w)
 {
-    auto waiting = std::exchange(w.waiting, {});
-    std::erase_if(waiting,
-                  [&w](request_number number) { return step(w, number); });
-    w.waiting.insert(w.waiting.begin(), waiting.begin(), waiting.end());
-    if (!w.waiting.empty())
+    std::ranges::for_each(std::exchange(w.waiting, {}),
+                          [&w](request_number number) { enqueue(w, number); });
+    refuse_expired(w);
+    for (auto &[name, lane] : w.queue.lanes())
+    {
+        if (lane.waiting.empty())
+        {
+            continue;
+        }
+        if (lane.blocked_until <= w.now)
+        {
+            serve_lane(w, lane);
+        }
+        if (!lane.waiting.empty())
+        {
+            wake_at(w, std::max(lane.blocked_until, w.now + microseconds(1)));
+        }
+    }
+    if (w.queue.next_expiry() != instant::max())
     {
-        constexpr duration poll_interval = milliseconds(20);
-        wake_at(w, w.now + poll_interval);
+        wake_at(w, w.queue.next_expiry());
     }
 }
 
--- a/src/forward_answers.cpp
+++ b/src/forward_answers.cpp
@@ -1,6 +1,7 @@
 #include "forward_answers.hpp"
 
 #include "claim_calls.hpp"
+#include "hand_over_prefill.hpp"
 #include "request_lifecycle.hpp"
 #include "world.hpp"
 
@@ -91,6 +92,8 @@
         finish_stream(w, *request, *attempt, event);
         return;
     case engine_event_kind::prefilled:
+        hand_over_prefill(w, *request, *attempt);
+        return;
     case engine_event_kind::refused:
     case engine_event_kind::failed_before_send:
     case engine_event_kind::failed_after_send:
--- a/src/request_table.hpp
+++ b/src/request_table.hpp
@@ -45,6 +45,10 @@
     int attempts = 0;
     /// Version of the claim row of a non-idempotent call; 0 without a claim.
     std::uint64_t claim_row_version = 0;
+    /// Engine that holds the prompt's KV cache, and the stream key there; empty
+    /// until a prefill engine has computed it.
+    std::string kv_address;
+    std::string kv_key;
     /// Earliest time of the next attempt.
     instant not_before{};
 };
--- a/src/select_engine.cpp
+++ b/src/select_engine.cpp
@@ -18,6 +18,10 @@
 std::optional<engine_index> select_engine(world &w,
                                           request_state const &request)
 {
+    if (w.hooks.select)
+    {
+        return w.hooks.select(w, request);
+    }
     std::optional<engine_index> best;
     for (std::uint32_t i = 0; i < w.engines.all().size(); ++i)
     {
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -221,7 +221,7 @@
 {
     auto item = waiting_.begin();
     while (item != waiting_.end() &&
-           running_.size() < static_cast<std::size_t>(options_.max_batch))
+           running_.size() < static_cast<std::size_t>(batch_limit()))
     {
         auto const need = kv_need(item->work);
         bool const fits = kv_tokens_ + need <= options_.kv_capacity_tokens;
@@ -243,14 +243,35 @@
 
 int standin_engine::plan_prefill()
 {
-    int budget = options_.prefill_chunk_tokens;
+    int const limit = chunk_limit();
+    int budget = limit;
     for (auto &item : running_)
     {
         auto const part = std::min(budget, item.prefill_left);
         item.prefill_left -= part;
         budget -= part;
     }
-    return options_.prefill_chunk_tokens - budget;
+    return limit - budget;
+}
+
+int standin_engine::batch_limit() const
+{
+    return options_.role == engine_role::decode ? options_.decode_max_batch
+                                                : options_.max_batch;
+}
+
+int standin_engine::chunk_limit() const
+{
+    switch (options_.role)
+    {
+    case engine_role::prefill:
+        return options_.prefill_role_chunk_tokens;
+    case engine_role::decode:
+        return options_.decode_role_chunk_tokens;
+    case engine_role::mixed:
+        break;
+    }
+    return options_.prefill_chunk_tokens;
 }
 
 void standin_engine::begin_step(instant now)
@@ -354,6 +375,15 @@
     return tokens;
 }
 
+int standin_engine::cached_prefix_tokens(
+    std::vector<std::uint64_t> const &hashes, int block_tokens) const
+{
+    auto const end =
+        std::ranges::find_if(hashes, [this](std::uint64_t hash)
+                             { return !cache_.contains(hash); });
+    return static_cast<int>(end - hashes.begin()) * block_tokens;
+}
+
 void standin_engine::store_prefix(standin_work const &work)
 {
     for (auto const hash : work.prefix_hashes)
--- a/src/standin_engine.hpp
+++ b/src/standin_engine.hpp
@@ -25,9 +25,15 @@
     std::string model_version;
     engine_role role = engine_role::mixed;
     bool checks_fencing = true;
+    /// Sequences in one batch. A mixed engine keeps memory for prefill
+    /// activations and therefore has the smaller batch.
     int max_batch = 32;
-    /// Prompt tokens that one step computes at the most.
+    int decode_max_batch = 80;
+    /// Prompt tokens that one step computes at the most, by role. A prefill
+    /// engine has no token interval to protect and takes long chunks.
     int prefill_chunk_tokens = 512;
+    int prefill_role_chunk_tokens = 4096;
+    int decode_role_chunk_tokens = 128;
     duration step_base = milliseconds(12);
     duration step_per_sequence = microseconds(350);
     double prefill_tokens_per_second = 9000;
@@ -113,6 +119,11 @@
     std::vector<cache_event> cache_events_after(std::uint64_t sequence) const;
 
     standin_engine_options &options() { return options_; }
+    standin_engine_options const &options() const { return options_; }
+
+    /// @return prompt tokens of leading blocks that the prefix cache holds
+    int cached_prefix_tokens(std::vector<std::uint64_t> const &hashes,
+                             int block_tokens) const;
 
     /// Orders that took effect, in order.
     std::vector<engine_order> const &effects() const { return effects_; }
@@ -132,6 +143,8 @@
         bool announced = false;
     };
 
+    int batch_limit() const;
+    int chunk_limit() const;
     void begin_step(instant now);
     void end_step(std::vector<standin_event> &events);
     void admit_waiting(instant now);
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -5,6 +5,7 @@
 #include "dispatch_requests.hpp"
 #include "forward_answers.hpp"
 #include "internal_assert.hpp"
+#include "plan_role_changes.hpp"
 #include "receive_requests.hpp"
 #include "track_engines.hpp"
 #include "world.hpp"
@@ -24,6 +25,7 @@
     receive_requests(w);
     claim_calls(w);
     dispatch_requests(w);
+    plan_role_changes(w);
     check_invariants(w);
     w.in = {};
 }
--- a/src/track_engines.cpp
+++ b/src/track_engines.cpp
@@ -23,6 +23,11 @@
     {
         return;
     }
+    if (!engine.report || engine.report->role != report.role ||
+        engine.report->ready != report.ready)
+    {
+        w.candidates.invalidate();
+    }
     engine.report = report;
     engine.report_measured_at = measured_at;
 }
@@ -33,6 +38,10 @@
 {
     std::ranges::for_each(w.in.load_reports, [&w](load_report const &report)
                           { store_report(w, report); });
+    if (w.candidates.due(w.now, w.config.revision))
+    {
+        w.candidates.rebuild(w.engines, w.now, w.config.revision);
+    }
 }
 
 } // namespace agateledge
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -2,12 +2,15 @@
 #define AGATELEDGE_WORLD_HPP
 
 #include "attempt_table.hpp"
+#include "candidate_index.hpp"
 #include "caller_table.hpp"
 #include "claim_table.hpp"
 #include "configuration.hpp"
 #include "cost_table.hpp"
 #include "counters.hpp"
 #include "daemon_identity.hpp"
+#include "decision_hooks.hpp"
+#include "dispatch_queue.hpp"
 #include "endpoint_table.hpp"
 #include "engine_table.hpp"
 #include "fault_switches.hpp"
@@ -50,11 +53,14 @@
     /// Revision in force.
     configuration config;
     engine_table engines;
+    candidate_index candidates;
     endpoint_table endpoints;
     request_table requests;
     attempt_table attempts;
-    /// Requests in phase `waiting`, in order of arrival.
+    /// Requests that became `waiting` since `dispatch_requests` last ran; it
+    /// moves them to `queue`.
     std::deque<request_number> waiting;
+    dispatch_queue queue;
     claim_table claims;
     lease_table leases;
     order_table orders;
@@ -65,6 +71,7 @@
     query_table queries;
     counters totals;
     fault_switches faults;
+    decision_hooks hooks;
     /// True from the shutdown request on.
     bool draining = false;
     std::uint64_t last_operation = 0;
