--- a/src/connection_gate.cpp
+++ b/src/connection_gate.cpp
@@ -1,8 +1,8 @@
 #include "connection_gate.hpp"
 
 #include "daemon_loop.hpp"
+#include "http_server.hpp"
 #include "result_code.hpp"
-#include "socket_address.hpp"
 
 #include <glib-unix.h>
 #include <netinet/in.h>
@@ -98,7 +98,7 @@
     {
         return certificate;
     }
-    auto const local = parse_socket_address(address);
+    gobject_ptr<GSocketAddress> const local(parse_socket_address(address));
     if (!local)
     {
         return settings_fault("address " + address, nullptr);
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -1,6 +1,7 @@
 #include "daemon_process.hpp"
 
 #include "apply_configuration.hpp"
+#include "json_log.hpp"
 
 #include <glib.h>
 
@@ -27,7 +28,8 @@
     : config_(std::move(config)),
       state_(identity_of(config_, incarnation), seed), loop_(state_),
       callers_(state_, loop_, request_keys_, config_.limits),
-      engines_(http_, loop_), services_(http_, loop_),
+      engines_(http_, loop_), poller_(state_, http_, loop_),
+      services_(http_, loop_),
       table_(http_, loop_, config_.table_address, config_.store)
 {
     install_handlers();
@@ -44,6 +46,8 @@
 void daemon_process::install_handlers()
 {
     auto &handlers = loop_.handlers;
+    handlers.write_log = [this](log_entry const &entry)
+    { write_log_line(config_.name, entry); };
     handlers.reply_to_caller = [this](caller_reply const &reply)
     { callers_.reply(reply); };
     handlers.call_engine = [this](engine_call const &call)
@@ -82,6 +86,7 @@
     if (listening.ok())
     {
         loop_.input();
+        poller_.start();
     }
     return listening;
 }
--- a/src/daemon_process.hpp
+++ b/src/daemon_process.hpp
@@ -4,6 +4,7 @@
 #include "caller_listener.hpp"
 #include "daemon_loop.hpp"
 #include "engine_client.hpp"
+#include "engine_poller.hpp"
 #include "http_client.hpp"
 #include "ids.hpp"
 #include "service_client.hpp"
@@ -67,6 +68,7 @@
     signing_keys request_keys_;
     caller_listener callers_;
     engine_client engines_;
+    engine_poller poller_;
     service_client services_;
     table_client table_;
     unsigned stop_timer_ = 0;
--- a/src/engine_protocol.cpp
+++ b/src/engine_protocol.cpp
@@ -173,7 +173,7 @@
     Json::Value json;
     json["stream"] = call.stream_key;
     json["model"] = call.model;
-    json["body"] = call.body ? *call.body : std::string();
+    json["prompt"] = call.body ? *call.body : std::string();
     json["generated_text"] = call.generated_text;
     json["generated_tokens"] = call.generated_tokens;
     json["prompt_tokens"] = call.prompt_tokens;
--- a/src/run_command_line.cpp
+++ b/src/run_command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "command_options.hpp"
 #include "run_check.hpp"
+#include "run_serve.hpp"
 
 #include <algorithm>
 #include <array>
@@ -25,6 +26,7 @@
 
 constexpr std::array subcommands{
     subcommand{"check", "checks a settings file", run_check},
+    subcommand{"serve", "runs one entry daemon", run_serve},
 };
 
 void print_usage(std::ostream &out)
--- a/src/run_serve.cpp
+++ b/src/run_serve.cpp
@@ -1,11 +1,14 @@
 #include "run_serve.hpp"
 
+#include "command_options.hpp"
 #include "daemon_process.hpp"
+#include "json_log.hpp"
+#include "load_settings.hpp"
 
 #include <glib-unix.h>
 
 #include <csignal>
-#include <cstdio>
+#include <iostream>
 #include <memory>
 
 namespace agateledge
@@ -30,7 +33,7 @@
     auto const status = static_cast<daemon_process *>(daemon)->reload();
     if (!status.ok())
     {
-        std::fprintf(stderr, "agateledge: %s\n", status.ToString().c_str());
+        std::cerr << status.message() << "\n";
     }
     return G_SOURCE_CONTINUE;
 }
@@ -44,8 +47,8 @@
     auto const status = daemon.start();
     if (!status.ok())
     {
-        std::fprintf(stderr, "agateledge: %s\n", status.ToString().c_str());
-        return 2;
+        std::cerr << status.message() << "\n";
+        return exit_usage;
     }
     std::unique_ptr<GMainLoop, main_loop_unref> const loop(
         g_main_loop_new(nullptr, FALSE));
@@ -57,7 +60,32 @@
     g_source_remove(term);
     g_source_remove(interrupt);
     g_source_remove(hangup);
-    return 0;
+    return exit_success;
+}
+
+int run_serve(std::vector<std::string> const &arguments)
+{
+    command_options options("agateledge serve: runs one entry daemon");
+    options.add()("settings", boost::program_options::value<std::string>(),
+                  "TOML file with the settings of the daemon");
+    if (auto const code = options.parse(arguments, {"settings"}))
+    {
+        return *code;
+    }
+    auto const config =
+        load_settings(options.values()["settings"].as<std::string>());
+    if (!config.ok())
+    {
+        std::cerr << config.status().message() << "\n";
+        return exit_usage;
+    }
+    auto const log = start_log(config->log_level);
+    if (!log.ok())
+    {
+        std::cerr << log.message() << "\n";
+        return exit_usage;
+    }
+    return run_serve(*config);
 }
 
 } // namespace agateledge
--- a/src/run_serve.hpp
+++ b/src/run_serve.hpp
@@ -1,6 +1,9 @@
 #ifndef AGATELEDGE_RUN_SERVE_HPP
 #define AGATELEDGE_RUN_SERVE_HPP
 
+#include <string>
+#include <vector>
+
 namespace agateledge
 {
 
@@ -14,6 +17,12 @@
 ///         be used
 int run_serve(settings const &config);
 
+/// Runs `agateledge serve`.
+///
+/// @param arguments command line after the subcommand
+/// @return exit code
+int run_serve(std::vector<std::string> const &arguments);
+
 } // namespace agateledge
 
 #endif
