--- a/harness/bench_oracle.cpp
+++ b/harness/bench_oracle.cpp
@@ -40,8 +40,7 @@
 
 double step_seconds(standin_engine_options const &options, int sequences)
 {
-    auto const step =
-        options.step_base + options.step_per_sequence * sequences;
+    auto const step = options.step_base + options.step_per_sequence * sequences;
     return to_seconds(step) / options.speed;
 }
 
@@ -60,9 +59,9 @@
         auto const limit = options.role == engine_role::decode
                                ? options.decode_max_batch
                                : options.max_batch;
-        bool const fits = load.kv_tokens_used + arrival.prompt_tokens +
-                              output <=
-                          options.kv_capacity_tokens;
+        bool const fits =
+            load.kv_tokens_used + arrival.prompt_tokens + output <=
+            options.kv_capacity_tokens;
         return sequences < limit && fits
                    ? output * step_seconds(options, sequences + 1)
                    : none;
@@ -70,16 +69,15 @@
     double const rate = prefill_rate * options.speed *
                         (options.role == engine_role::prefill ? 1.0 : 0.75);
     double const backlog = load.waiting_prefill_tokens / rate;
-    bool const full = options.role == engine_role::mixed &&
-                      sequences >= options.max_batch;
+    bool const full =
+        options.role == engine_role::mixed && sequences >= options.max_batch;
     if (backlog > max_backlog_seconds || full)
     {
         return none;
     }
     auto const own = arrival.prompt_tokens -
-                     state.model->cached_prefix_tokens(arrival.prefix_hashes,
-                                                       arrival
-                                                           .prefix_block_tokens);
+                     state.model->cached_prefix_tokens(
+                         arrival.prefix_hashes, arrival.prefix_block_tokens);
     double const first = backlog + own / rate;
     return options.role == engine_role::prefill
                ? first
@@ -98,14 +96,13 @@
         auto const &engine = w.engines.all()[i];
         auto const &actual =
             run.deployment().engines().at(engine.definition.name);
-        if (!engine.takes_work() || engine.role() == unfit ||
-            !actual.reachable)
+        if (!engine.takes_work() || engine.role() == unfit || !actual.reachable)
         {
             continue;
         }
-        auto const time =
-            predict(run, request,
-                    {engine_index(i), actual.model.get(), actual.model->load()});
+        auto const time = predict(
+            run, request,
+            {engine_index(i), actual.model.get(), actual.model->load()});
         if (time < best_time)
         {
             best_time = time;
@@ -118,8 +115,8 @@
 int count_role(world const &w, engine_role role)
 {
     return static_cast<int>(std::ranges::count_if(
-        w.engines.all(), [role](engine_state const &engine)
-        { return engine.role() == role; }));
+        w.engines.all(),
+        [role](engine_state const &engine) { return engine.role() == role; }));
 }
 
 void follow_plan(bench_run &run, world &w, role_plan const &plan)
@@ -127,9 +124,9 @@
     auto const second = to_seconds(w.now.time_since_epoch());
     auto const share = run.scenario().prompt_share(second + lead_seconds);
     auto const engines = static_cast<int>(w.engines.all().size());
-    auto const wanted = std::clamp(
-        static_cast<int>(std::lround(plan.scale * share * engines)), 1,
-        engines - 1);
+    auto const wanted =
+        std::clamp(static_cast<int>(std::lround(plan.scale * share * engines)),
+                   1, engines - 1);
     auto const present = count_role(w, engine_role::prefill);
     bool const changing =
         std::ranges::any_of(w.engines.all(), [](engine_state const &engine)
@@ -161,14 +158,14 @@
     }
 }
 
-bench_score run_plan(workload load, bench_scenario scenario,
-                     std::uint64_t seed, role_plan const &plan)
+bench_score run_plan(workload load, bench_scenario scenario, std::uint64_t seed,
+                     role_plan const &plan)
 {
     auto const engines = static_cast<double>(load.config.engines.size());
     auto const mixed = static_cast<int>(plan.mixed * engines);
-    auto const prefill = static_cast<int>(std::lround(
-        plan.initial_share * (plan.scale > 0 ? plan.scale : 1.0) *
-        (engines - mixed)));
+    auto const prefill = static_cast<int>(
+        std::lround(plan.initial_share * (plan.scale > 0 ? plan.scale : 1.0) *
+                    (engines - mixed)));
     assign_roles(load.config, prefill, mixed);
     scenario.report_lag = milliseconds(1);
     bench_run run(load, scenario, seed);
@@ -196,9 +193,9 @@
     auto const middle =
         scenario.prompt_share(to_seconds(scenario.length) * 0.5);
     std::vector<role_plan> const plans = {
-        {0, 1.0, 0},       {0, 0, (begin + middle) / 2},
-        {0.8, 0, begin},   {1.0, 0, begin},
-        {1.2, 0, begin},   {0, 0.5, (begin + middle) / 2}};
+        {0, 1.0, 0},     {0, 0, (begin + middle) / 2},
+        {0.8, 0, begin}, {1.0, 0, begin},
+        {1.2, 0, begin}, {0, 0.5, (begin + middle) / 2}};
     bench_score best;
     // At most this many runs at a time share the machine.
     constexpr std::size_t parallel = 3;
--- a/harness/bench_policies.cpp
+++ b/harness/bench_policies.cpp
@@ -115,8 +115,8 @@
     {
         sum += in_flight(w.engines.at(index));
     }
-    auto const mean = sum / static_cast<double>(std::max<std::size_t>(
-                                1, among.size()));
+    auto const mean =
+        sum / static_cast<double>(std::max<std::size_t>(1, among.size()));
     constexpr double load_bound = 1.25;
     std::optional<engine_index> best;
     std::uint64_t best_hash = 0;
--- a/harness/bench_run.cpp
+++ b/harness/bench_run.cpp
@@ -111,8 +111,7 @@
     }
     auto const daemon = random_.below(deployment_.daemons().size());
     deployment_.submit(daemon, std::move(arrival));
-    plan_booking(now +
-                 from_seconds(exponential(random_, bookings_per_second)));
+    plan_booking(now + from_seconds(exponential(random_, bookings_per_second)));
 }
 
 void bench_run::end_streams(std::string const &name, bool only_remote)
--- a/harness/bench_score.cpp
+++ b/harness/bench_score.cpp
@@ -60,8 +60,8 @@
     if (request.tokens > 0)
     {
         auto const first = request.first_token_at - request.arrived_at;
-        auto const interval = (now - request.first_token_at) /
-                              std::max(1, request.tokens - 1);
+        auto const interval =
+            (now - request.first_token_at) / std::max(1, request.tokens - 1);
         in_time &= kind.first_token_deadline.count() == 0 ||
                    first <= kind.first_token_deadline;
         in_time &= kind.token_interval_deadline.count() == 0 ||
--- a/harness/role_baselines.cpp
+++ b/harness/role_baselines.cpp
@@ -108,9 +108,9 @@
     {
         return;
     }
-    auto const wanted = std::clamp(
-        static_cast<int>(std::lround(prefill.load / sum * engines)), 1,
-        engines - 1);
+    auto const wanted =
+        std::clamp(static_cast<int>(std::lround(prefill.load / sum * engines)),
+                   1, engines - 1);
     for (int i = prefill.engines; i < wanted; ++i)
     {
         change_one(w, engine_role::decode, engine_role::prefill);
--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -259,8 +259,8 @@
 {
     auto const &target = engines_.at(engine);
     auto const &from = daemons_[daemon].state->identity.data_centre;
-    bool const cut = isolated_.contains(from) ||
-                     isolated_.contains(target.data_centre);
+    bool const cut =
+        isolated_.contains(from) || isolated_.contains(target.data_centre);
     return target.reachable && (!cut || from == target.data_centre);
 }
 
@@ -355,8 +355,8 @@
         return;
     }
     auto const name = engine.model->options().name;
-    std::ranges::for_each(*events, [&name](cache_event &event)
-                          { event.engine = name; });
+    std::ranges::for_each(*events,
+                          [&name](cache_event &event) { event.engine = name; });
     at(now_ + delays_.load_report_lag,
        [this, events]
        {
--- a/harness/workload.cpp
+++ b/harness/workload.cpp
@@ -139,7 +139,8 @@
         model_class("farrier-call", 0, milliseconds(850), seconds(12), 120),
         model_class("arrival-notice", 1, milliseconds(850), seconds(8), 80),
         model_class("round-draft", 1, seconds(2), seconds(60), 500),
-        long_class("horse-history"), plain_class("booking"),
+        long_class("horse-history"),
+        plain_class("booking"),
         plain_class("booking-status")};
     out.classes = {{"farrier-call", 0.30, {80, 160}, {1500, 80}},
                    {"arrival-notice", 0.35, {60, 110}, {400, 60}},
--- a/src/candidate_index.cpp
+++ b/src/candidate_index.cpp
@@ -27,8 +27,8 @@
     }
 }
 
-candidate_index::engines const &
-candidate_index::of(std::string const &service, engine_role role) const
+candidate_index::engines const &candidate_index::of(std::string const &service,
+                                                    engine_role role) const
 {
     auto const found = by_service_.find(service);
     return found == by_service_.end()
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -378,9 +378,8 @@
 int standin_engine::cached_prefix_tokens(
     std::vector<std::uint64_t> const &hashes, int block_tokens) const
 {
-    auto const end =
-        std::ranges::find_if(hashes, [this](std::uint64_t hash)
-                             { return !cache_.contains(hash); });
+    auto const end = std::ranges::find_if(hashes, [this](std::uint64_t hash)
+                                          { return !cache_.contains(hash); });
     return static_cast<int>(end - hashes.begin()) * block_tokens;
 }
 
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -2,8 +2,8 @@
 #define AGATELEDGE_WORLD_HPP
 
 #include "attempt_table.hpp"
-#include "candidate_index.hpp"
 #include "caller_table.hpp"
+#include "candidate_index.hpp"
 #include "claim_table.hpp"
 #include "configuration.hpp"
 #include "cost_table.hpp"
