Remove duplicate wake-ups from the virtual deployment

Cause: each external event planned an engine's step again, and each tick queued a new closure for the same far wake-up. Change: a step and a check of a tick are queued once.

--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -95,7 +95,8 @@
         now_ = std::max(now_, end);
         return false;
     }
-    auto const next = queue_.top();
+    // The queue only lends its top; the action is moved out before the pop.
+    auto const next = std::move(const_cast<planned_action &>(queue_.top()));
     queue_.pop();
     now_ = next.when;
     next.action();
@@ -118,19 +119,30 @@
 void virtual_deployment::plan_tick(std::size_t index, instant when)
 {
     auto &daemon = daemons_[index];
-    if (daemon.planned_tick <= when)
+    daemon.planned_tick = std::min(daemon.planned_tick, when);
+    // A queued check that comes earlier plans the later one, so that the queue
+    // does not fill with wake-ups that have been replaced.
+    auto &queued = daemon.queued_checks;
+    if (!queued.empty() && *queued.begin() <= when)
     {
         return;
     }
-    daemon.planned_tick = when;
-    at(when,
-       [this, index, when]
-       {
-           if (daemons_[index].planned_tick == when)
-           {
-               run_tick(index);
-           }
-       });
+    queued.insert(when);
+    at(when, [this, index, when] { check_tick(index, when); });
+}
+
+void virtual_deployment::check_tick(std::size_t index, instant when)
+{
+    auto &daemon = daemons_[index];
+    daemon.queued_checks.erase(when);
+    if (daemon.planned_tick <= when)
+    {
+        run_tick(index);
+    }
+    else if (daemon.planned_tick != instant::max())
+    {
+        plan_tick(index, daemon.planned_tick);
+    }
 }
 
 void virtual_deployment::run_tick(std::size_t index)
@@ -273,13 +285,18 @@
         return;
     }
     engine.planned_step = *next;
-    at(*next, [this, name] { advance_engine(name); });
+    at(*next,
+       [this, name, when = *next]
+       {
+           auto &planned = engines_.at(name).planned_step;
+           planned = planned == when ? instant::max() : planned;
+           advance_engine(name);
+       });
 }
 
 void virtual_deployment::advance_engine(std::string const &name)
 {
     auto &engine = engines_.at(name);
-    engine.planned_step = instant::max();
     std::vector<standin_event> events;
     engine.model->advance(now_, events);
     std::vector<std::vector<engine_event>> by_daemon(daemons_.size());
--- a/harness/virtual_deployment.hpp
+++ b/harness/virtual_deployment.hpp
@@ -29,6 +29,8 @@
     bool paused = false;
     /// Time of the tick that is already planned.
     instant planned_tick = instant::max();
+    /// Times at which the queue holds a check whether a tick is due.
+    std::set<instant> queued_checks;
 };
 
 /// One engine of a virtual deployment.
@@ -120,6 +122,7 @@
     };
 
     void plan_tick(std::size_t daemon, instant when);
+    void check_tick(std::size_t daemon, instant when);
     void run_tick(std::size_t daemon);
     void carry_out(std::size_t daemon);
     void send_engine_call(std::size_t daemon, engine_call const &call);
