Keep caller connections open and free those that close early

Cause: libsoup closes a connection after one request when the server has no listener of its own, and a message whose connection closes before its request begins never finishes, so the exchange and its connection stayed open. Change: a placeholder listener, clean-up on disconnect, and an end for a streamed message whose caller has left. Tests for refusals, slow, half-closed and departed callers, flow control and resume ids. Conclusion: connections are reused, and departed callers free everything.

--- a/harness/raw_client.cpp
+++ b/harness/raw_client.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -77,11 +78,14 @@
 
 bool raw_client::read_until(std::string_view text, duration limit)
 {
+    std::size_t searched = 0;
     return run_until(
-        [this, text]
+        [this, text, &searched]
         {
             read_available();
-            return received.find(text) != std::string::npos;
+            auto const from = searched - std::min(searched, text.size());
+            searched = received.size();
+            return received.find(text, from) != std::string::npos;
         },
         limit);
 }
--- a/src/caller_listener.cpp
+++ b/src/caller_listener.cpp
@@ -202,6 +202,10 @@
                      this);
     g_signal_connect(message, "finished", G_CALLBACK(callbacks::finished),
                      this);
+    // A message whose connection closes before its request has begun does not
+    // finish.
+    g_signal_connect(message, "disconnected", G_CALLBACK(callbacks::finished),
+                     this);
 }
 
 void caller_listener::check_headers(caller_exchange &exchange)
@@ -496,7 +500,8 @@
     }
     depart(*exchange);
     gate_.cut(key);
-    soup_server_message_unpause(exchange->message());
+    // Ends the message; nothing reaches the caller any more.
+    exchange->refuse(result_code::invalid_request, "the caller has left");
 }
 
 void caller_listener::depart(caller_exchange &exchange)
--- a/src/connection_gate.cpp
+++ b/src/connection_gate.cpp
@@ -8,6 +8,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -38,6 +40,27 @@
                         TCP_NODELAY, 1, nullptr);
 }
 
+/// libsoup closes a connection after one request unless the server listens
+/// itself. This gives it a listening socket that no caller knows: a Unix socket
+/// under a name that the kernel chooses.
+void add_placeholder_listener(SoupServer *server)
+{
+    auto const descriptor = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    auto const *generic = reinterpret_cast<sockaddr const *>(&address);
+    if (bind(descriptor, generic, sizeof(sa_family_t)) != 0 ||
+        listen(descriptor, 0) != 0)
+    {
+        close(descriptor);
+        return;
+    }
+    gobject_ptr<GSocket> const listener(
+        g_socket_new_from_fd(descriptor, nullptr));
+    soup_server_listen_socket(server, listener.get(),
+                              static_cast<SoupServerListenOptions>(0), nullptr);
+}
+
 } // namespace
 
 struct connection_gate::callbacks
@@ -72,6 +95,7 @@
       epoll_(epoll_create1(EPOLL_CLOEXEC))
 {
     g_socket_service_stop(service_.get());
+    add_placeholder_listener(server);
     epoll_source_ = g_unix_fd_add(epoll_, G_IO_IN, callbacks::peer_event, this);
     sweep_source_ = g_timeout_add(sweep_interval_ms, callbacks::sweep, this);
 }
