Reuse kept connections for POST and never resend a call

Change: POST is marked idempotent and a second send of the same call is ended as failed after the send; calls of plain services close their connection.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -39,12 +39,20 @@
     {
         return nullptr;
     }
+    auto *headers = soup_message_get_request_headers(message);
     soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
     if (request.new_connection)
     {
         soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+        soup_message_headers_replace(headers, "Connection", "close");
+    }
+    else
+    {
+        // Without this flag libsoup opens a connection for each POST and keeps
+        // it unused. `callbacks::connected` prevents the resend that the flag
+        // permits.
+        soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
     }
-    auto *headers = soup_message_get_request_headers(message);
     for (auto const &[name, value] : request.headers)
     {
         soup_message_headers_replace(headers, name.c_str(), value.c_str());
@@ -60,7 +68,13 @@
     static void connected(SoupMessage *, gpointer data)
     {
         auto *call = static_cast<http_call *>(data);
-        call->connected_ = true;
+        if (std::exchange(call->connected_, true))
+        {
+            // libsoup is about to send the request again after the connection
+            // broke; whether the first one ran is unknown.
+            call->fail();
+            return;
+        }
         if (!call->total_bound_)
         {
             call->stop_timer();
@@ -126,6 +140,8 @@
     }
     g_signal_connect(message_.get(), "starting",
                      G_CALLBACK(callbacks::connected), this);
+    g_signal_connect(message_.get(), "restarted",
+                     G_CALLBACK(callbacks::connected), this);
     total_bound_ = request.total_timeout.count() > 0;
     start_timer(total_bound_ ? request.total_timeout : request.connect_timeout);
     soup_session_send_async(session, message_.get(), G_PRIORITY_DEFAULT,
