Write the replies of a tick together and free finished calls

Cause: handlers of a finished call kept it alive through the stream that owns it, about 10 KB a request; each event of a tick was written as an HTTP chunk of its own. Change: a finished call drops its handlers; replies are collected per caller and written after the tick (output_handlers::flush_replies).

--- a/src/caller_exchange.cpp
+++ b/src/caller_exchange.cpp
@@ -35,10 +35,14 @@
 void caller_exchange::refuse_with_status(int status, result_code code,
                                          std::string_view message)
 {
+    if (answered_)
+    {
+        return;
+    }
     if (streaming_)
     {
         write(error_event(code, message));
-        complete();
+        answered_ = true;
         return;
     }
     answer(status, json_type, error_document(code, message));
@@ -96,9 +100,27 @@
 
 void caller_exchange::write(std::string_view text)
 {
-    auto *body = soup_server_message_get_response_body(message());
-    soup_message_body_append(body, SOUP_MEMORY_COPY, text.data(), text.size());
+    pending_ += text;
     buffered_ += static_cast<std::int64_t>(text.size());
+}
+
+void caller_exchange::flush()
+{
+    if (!streaming_)
+    {
+        return;
+    }
+    auto *body = soup_server_message_get_response_body(message());
+    if (!pending_.empty())
+    {
+        soup_message_body_append(body, SOUP_MEMORY_COPY, pending_.data(),
+                                 pending_.size());
+        pending_.clear();
+    }
+    if (answered_)
+    {
+        soup_message_body_complete(body);
+    }
     soup_server_message_unpause(message());
 }
 
@@ -137,7 +159,7 @@
         write(writer.usage_event(shape_.prompt_tokens, tokens_));
     }
     write(done_event);
-    complete();
+    answered_ = true;
 }
 
 void caller_exchange::finish_service(caller_reply const &reply)
@@ -165,14 +187,6 @@
     }
 }
 
-void caller_exchange::complete()
-{
-    answered_ = true;
-    soup_message_body_complete(
-        soup_server_message_get_response_body(message()));
-    soup_server_message_unpause(message());
-}
-
 void caller_exchange::wrote(std::int64_t bytes)
 {
     buffered_ -= bytes;
--- a/src/caller_exchange.hpp
+++ b/src/caller_exchange.hpp
@@ -57,12 +57,15 @@
     void refuse_with_status(int status, result_code code,
                             std::string_view message);
 
-    /// Writes what the systems answered.
+    /// Takes what the systems answered; the parts of a stream wait for `flush`.
     ///
     /// @param reply reply to this request
     /// @param id signed id of the request, with `accepted`
     void reply(caller_reply const &reply, std::string const &id);
 
+    /// Gives the parts of a stream to the connection.
+    void flush();
+
     /// Counts bytes that were written to the connection.
     void wrote(std::int64_t bytes);
 
@@ -82,11 +85,12 @@
     void finish_completion(caller_reply const &reply);
     void finish_service(caller_reply const &reply);
     void answer(int status, std::string_view type, std::string_view body);
-    void complete();
 
     gobject_ptr<SoupServerMessage> message_;
     answer_shape shape_;
     std::string text_;
+    /// Events that `flush` will write.
+    std::string pending_;
     int tokens_ = 0;
     std::int64_t buffered_ = 0;
     bool paused_ = false;
--- a/src/caller_listener.cpp
+++ b/src/caller_listener.cpp
@@ -433,6 +433,24 @@
         set_held(exchange, held);
     }
     exchange.reply(reply, id);
+    replied_.push_back(reply.request);
+}
+
+void caller_listener::flush()
+{
+    for (auto const request : std::exchange(replied_, {}))
+    {
+        auto const found = by_request_.find(request);
+        if (found != by_request_.end())
+        {
+            flush(*found->second);
+        }
+    }
+}
+
+void caller_listener::flush(caller_exchange &exchange)
+{
+    exchange.flush();
     update_hold(exchange);
     if (exchange.answered())
     {
@@ -502,6 +520,7 @@
     gate_.cut(key);
     // Ends the message; nothing reaches the caller any more.
     exchange->refuse(result_code::invalid_request, "the caller has left");
+    exchange->flush();
 }
 
 void caller_listener::depart(caller_exchange &exchange)
--- a/src/caller_listener.hpp
+++ b/src/caller_listener.hpp
@@ -18,6 +18,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace agateledge
 {
@@ -48,9 +49,13 @@
     /// Begins to listen; see `connection_gate::start`.
     absl::Status start(std::string const &address, tls_settings const &tls);
 
-    /// Writes what the systems answered.
+    /// Takes what the systems answered; `flush` writes it.
     void reply(caller_reply const &reply);
 
+    /// Writes the replies that were taken since the last call, those to one
+    /// caller together.
+    void flush();
+
     connection_gate &gate() { return gate_; }
 
     /// @return true while the reader of that engine stream has stalled
@@ -80,6 +85,7 @@
     void wrote(caller_exchange &exchange, std::int64_t bytes);
     void set_held(caller_exchange &exchange, bool held);
     void update_hold(caller_exchange &exchange);
+    void flush(caller_exchange &exchange);
     void end(SoupServerMessage *message);
     void depart(caller_exchange &exchange);
     void peer_closed(connection_gate::connection_key key);
@@ -97,6 +103,8 @@
     std::unordered_map<request_number, caller_exchange *> by_request_;
     std::unordered_map<connection_gate::connection_key, SoupServerMessage *>
         by_connection_;
+    /// Requests with replies that have not been written.
+    std::vector<request_number> replied_;
     std::unordered_set<std::string> held_keys_;
     std::uint64_t last_request_ = 0;
 };
--- a/src/daemon_loop.cpp
+++ b/src/daemon_loop.cpp
@@ -110,6 +110,10 @@
     auto const out = std::exchange(state_.out, {});
     each(out.log_entries, handlers.write_log);
     each(out.caller_replies, handlers.reply_to_caller);
+    if (!out.caller_replies.empty() && handlers.flush_replies)
+    {
+        handlers.flush_replies();
+    }
     each(out.engine_calls, handlers.call_engine);
     each(out.attempt_cancels, handlers.cancel_attempt);
     each(out.service_calls, handlers.call_service);
--- a/src/daemon_loop.hpp
+++ b/src/daemon_loop.hpp
@@ -25,6 +25,8 @@
     std::function<void(peer_call const &)> call_peer;
     std::function<void(configuration_fetch const &)> fetch_configuration;
     std::function<void(operator_reply const &)> reply_to_operator;
+    /// Runs after all replies of a tick, so that they can be sent together.
+    std::function<void()> flush_replies;
     std::function<void()> stop;
 };
 
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -50,6 +50,7 @@
     { write_log_line(config_.name, entry); };
     handlers.reply_to_caller = [this](caller_reply const &reply)
     { callers_.reply(reply); };
+    handlers.flush_replies = [this] { callers_.flush(); };
     handlers.call_engine = [this](engine_call const &call)
     { engines_.call(call); };
     handlers.cancel_attempt = [this](attempt_cancel const &cancel)
--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -227,11 +227,23 @@
         finish(http_outcome::answered);
         return;
     }
-    if (handlers_.on_bytes)
+    deliver({buffer_.data(), static_cast<std::size_t>(count)});
+    read_next();
+}
+
+void http_call::deliver(std::string_view bytes)
+{
+    if (!handlers_.on_bytes)
     {
-        handlers_.on_bytes({buffer_.data(), static_cast<std::size_t>(count)});
+        return;
+    }
+    // The handler may cancel the call, which drops the handlers.
+    auto on_bytes = std::move(handlers_.on_bytes);
+    on_bytes(bytes);
+    if (!ended_)
+    {
+        handlers_.on_bytes = std::move(on_bytes);
     }
-    read_next();
 }
 
 void http_call::fail()
@@ -247,6 +259,8 @@
         return;
     }
     auto const on_end = std::move(handlers_.on_end);
+    // The handlers may own what owns this call.
+    handlers_ = {};
     bool const whole = outcome == http_outcome::answered;
     ended_ = true;
     stop_timer();
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -92,6 +92,7 @@
     void opened(GInputStream *stream);
     void read_next();
     void received(gssize count);
+    void deliver(std::string_view bytes);
     void finish(http_outcome outcome);
     void fail();
 
--- a/tools/latency_bench.cpp
+++ b/tools/latency_bench.cpp
@@ -207,7 +207,7 @@
         caller.read(milliseconds(5));
     }
     auto const start = clock_now();
-    while (clock_now() - start < seconds(6))
+    while (caller.begun() < open_streams && clock_now() - start < seconds(20))
     {
         caller.read(milliseconds(10));
     }
@@ -277,7 +277,9 @@
     out["idle_resident_mb"] =
         static_cast<double>(daemon.resident_bytes()) / bytes_per_mb;
     bench_caller caller(port, caller_request("slow", long_answer_tokens));
+    auto const start = clock_now();
     hold_streams(caller);
+    out["open_streams_seconds"] = to_seconds(clock_now() - start);
     out["open_streams"] = Json::UInt64(caller.begun());
     out["resident_mb"] =
         static_cast<double>(daemon.resident_bytes()) / bytes_per_mb;
