Serve callers over HTTP: serve, dev, the demo load and process tests

Cause: the decision core had no listeners, and nothing ran it as processes. Change: serve and dev subcommands over the caller listener and the engine, service and table clients; dev runs one daemon for each data centre beside the stand-ins and checks every answer of its load; four tests with real processes: planned stop, kill, pause past the lease time, store outage with lost answers. One parse_socket_address in place of two with the same name, which had crashed dev at the start (two definitions of one symbol).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -2,8 +2,8 @@
 
 #include "http_exchange.hpp"
 #include "result_code.hpp"
+#include "socket_address.hpp"
 
-#include <charconv>
 #include <utility>
 
 namespace agateledge
@@ -26,29 +26,6 @@
 
 } // namespace
 
-GSocketAddress *parse_socket_address(std::string const &address)
-{
-    auto const colon = address.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return nullptr;
-    }
-    auto host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-    {
-        host = host.substr(1, host.size() - 2);
-    }
-    unsigned port = 0;
-    auto const *end = address.data() + address.size();
-    auto const parsed = std::from_chars(address.data() + colon + 1, end, port);
-    constexpr unsigned max_port = 65535;
-    if (parsed.ec != std::errc() || parsed.ptr != end || port > max_port)
-    {
-        return nullptr;
-    }
-    return g_inet_socket_address_new_from_string(host.c_str(), port);
-}
-
 http_server::http_server()
     : server_(soup_server_new("server-header", "agateledge-standin", nullptr))
 {
@@ -68,16 +45,15 @@
 
 absl::Status http_server::listen(std::string const &address)
 {
-    auto *socket_address = parse_socket_address(address);
-    if (socket_address == nullptr)
+    auto const socket_address = parse_socket_address(address);
+    if (!socket_address)
     {
         return make_status(result_code::settings_invalid,
                            "\"" + address + "\" is not IP:port");
     }
     GError *error = nullptr;
-    soup_server_listen(server_, socket_address,
+    soup_server_listen(server_, socket_address.get(),
                        static_cast<SoupServerListenOptions>(0), &error);
-    g_object_unref(socket_address);
     if (error != nullptr)
     {
         auto status =
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -43,12 +43,6 @@
     SoupServer *server_;
 };
 
-/// Parses an IP address and port.
-///
-/// @param address for example "127.0.0.1:8080" or "[::1]:8080"
-/// @return a new socket address that the caller owns, or null when malformed
-GSocketAddress *parse_socket_address(std::string const &address);
-
 } // namespace agateledge
 
 #endif
--- a/src/run_command_line.cpp
+++ b/src/run_command_line.cpp
@@ -2,6 +2,8 @@
 
 #include "command_options.hpp"
 #include "run_check.hpp"
+#include "run_dev.hpp"
+#include "run_serve_command.hpp"
 
 #include <algorithm>
 #include <array>
@@ -24,6 +26,9 @@
 };
 
 constexpr std::array subcommands{
+    subcommand{"serve", "runs one entry daemon", run_serve_command},
+    subcommand{"dev", "runs daemons, stand-ins and a load in one process",
+               run_dev},
     subcommand{"check", "checks a settings file", run_check},
 };
 
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -1,6 +1,6 @@
 #include "settings_reader.hpp"
 
-#include "http_server.hpp"
+#include "socket_address.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -21,17 +21,6 @@
     return text.str();
 }
 
-bool is_socket_address(std::string const &text)
-{
-    auto *address = parse_socket_address(text);
-    if (address == nullptr)
-    {
-        return false;
-    }
-    g_object_unref(address);
-    return true;
-}
-
 } // namespace
 
 settings_reader::settings_reader(toml::table const &table, std::string file,
@@ -113,7 +102,7 @@
 {
     auto text = value;
     read(key, text, required);
-    if (!text.empty() && !is_socket_address(text))
+    if (!text.empty() && !parse_socket_address(text))
     {
         report(key, "\"" + text +
                         "\" is not an IP address and port such as "
--- a/src/standin_engine_server.cpp
+++ b/src/standin_engine_server.cpp
@@ -43,7 +43,7 @@
         work.imported_tokens = work.prompt_tokens;
     }
     work.output_tokens = standin_answer_length(
-        body["prompt"].asString(), work.seed, body["max_tokens"].asInt());
+        body["body"].asString(), work.seed, body["max_tokens"].asInt());
     return work;
 }
 
--- /dev/null
+++ b/src/standin_fleet.hpp
@@ -0,0 +1,69 @@
+#ifndef AGATELEDGE_STANDIN_FLEET_HPP
+#define AGATELEDGE_STANDIN_FLEET_HPP
+
+#include "standin_engine_server.hpp"
+#include "standin_platform_server.hpp"
+#include "standin_service_server.hpp"
+#include "standin_table_server.hpp"
+
+#include "absl/status/status.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+struct settings;
+
+/// Stand-ins for everything around the daemons of one deployment: engines,
+/// endpoints of plain services, table service, stores and membership list.
+class standin_fleet
+{
+public:
+    /// @param seed seed of the stand-ins' random choices
+    explicit standin_fleet(std::uint64_t seed);
+
+    /// Starts a stand-in for each address that the settings name.
+    ///
+    /// @param value settings whose addresses are replaced by free loopback
+    ///        ports when `free_ports` is set
+    /// @return `settings_invalid` when an address cannot be listened on
+    absl::Status start(settings &value, bool free_ports);
+
+    /// @return bookings that had more than one effect
+    int doubled_bookings() const;
+
+    std::map<std::string, standin_service> const &services() const
+    {
+        return services_;
+    }
+
+    std::vector<std::unique_ptr<standin_engine_server>> &engines()
+    {
+        return engines_;
+    }
+
+    standin_table_server &table() { return table_; }
+    standin_platform_server &platform() { return platform_; }
+
+private:
+    absl::Status start_platform(settings &value, bool free_ports);
+    absl::Status start_engines(settings &value, bool free_ports);
+    absl::Status start_endpoints(settings &value, bool free_ports);
+    void list_hosts(settings const &value);
+
+    std::uint64_t seed_;
+    standin_table_server table_;
+    standin_platform_server platform_;
+    std::map<std::string, standin_service> services_;
+    std::vector<std::unique_ptr<standin_engine_server>> engines_;
+    std::vector<std::unique_ptr<standin_service_server>> endpoints_;
+};
+
+} // namespace agateledge
+
+#endif
--- a/tools/run-lint.py
+++ b/tools/run-lint.py
@@ -15,7 +15,7 @@
 
 FOLDERS = ("src", "harness", "tools", "tutorial", "test/*")
 INCLUDE = re.compile(rb'^#include "([^"]+)"', re.MULTILINE)
-JOBS = 8
+JOBS = os.cpu_count() if os.environ.get("CI") else 4
 
 
 def read(path):
@@ -49,8 +49,15 @@
     return digest.hexdigest()[:24]
 
 
+def marks_folder():
+    """Folder of the marks of clean runs; worktrees of a clone share it."""
+    common = subprocess.run(["git", "rev-parse", "--git-common-dir"],
+                            stdout=subprocess.PIPE, check=True)
+    return os.path.join(common.stdout.decode().strip(), "lint-marks")
+
+
 def check(build, source):
-    mark = os.path.join(build, "lint", content_key(source))
+    mark = os.path.join(marks_folder(), content_key(source))
     if os.path.exists(mark):
         return True
     run = subprocess.run(["clang-tidy", "--quiet", "-p", build, source],
@@ -63,7 +70,7 @@
 
 def main():
     build = sys.argv[1]
-    os.makedirs(os.path.join(build, "lint"), exist_ok=True)
+    os.makedirs(marks_folder(), exist_ok=True)
     sources = sorted(path for folder in FOLDERS
                      for path in glob.glob(folder + "/*.cpp"))
     with concurrent.futures.ThreadPoolExecutor(JOBS) as pool:
