Add the operator language: typed statements, grammar and printer

Cause: operators need queries and changes in one small language, with errors that point at the place. Change: statement.hpp has the typed statements, parse_statement the X3 grammar, statement_text prints a statement so that it parses to itself. Conclusion: the language stands; nothing executes it yet.

--- /dev/null
+++ b/src/query_columns.hpp
@@ -0,0 +1,23 @@
+#ifndef AGATELEDGE_QUERY_COLUMNS_HPP
+#define AGATELEDGE_QUERY_COLUMNS_HPP
+
+#include "statement.hpp"
+
+#include <string_view>
+#include <vector>
+
+namespace agateledge
+{
+
+/// @return the word that names `target` in a query, for example "engines"
+std::string_view name_of(query_target target);
+
+/// @return the columns of `target`, in the order in which rows have them
+std::vector<std::string_view> const &columns_of(query_target target);
+
+/// @return all targets
+std::vector<query_target> const &query_targets();
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/statement_text.cpp
@@ -0,0 +1,264 @@
+#include "statement_text.hpp"
+
+#include "query_columns.hpp"
+#include "statement_parsers.hpp"
+#include "statement_words.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace agateledge
+{
+
+namespace
+{
+
+bool is_bare(std::string const &name)
+{
+    constexpr std::string_view others = ".:/@-";
+    return !name.empty() && grammar::is_word_byte(name.front()) &&
+           std::ranges::all_of(name,
+                               [&others](char byte) {
+                                   return grammar::is_word_byte(byte) ||
+                                          others.find(byte) != others.npos;
+                               });
+}
+
+std::string quote(std::string const &name)
+{
+    if (is_bare(name))
+    {
+        return name;
+    }
+    std::string out = "\"";
+    for (char const byte : name)
+    {
+        if (byte == '"' || byte == '\\')
+        {
+            out += '\\';
+        }
+        out += byte;
+    }
+    return out + "\"";
+}
+
+std::string number(double value)
+{
+    constexpr std::size_t longest = 64;
+    std::array<char, longest> text{};
+    auto const end = std::to_chars(text.data(), text.data() + text.size(),
+                                   value, std::chars_format::fixed);
+    return {text.data(), end.ptr};
+}
+
+bool is_duration(class_field field)
+{
+    return field == class_field::first_token ||
+           field == class_field::token_interval || field == class_field::finish;
+}
+
+std::string text_of(class_setting const &setting)
+{
+    auto text =
+        " " + std::string(word_of(class_field_words, setting.field)) + " ";
+    if (setting.field == class_field::may_wait)
+    {
+        return text + (setting.value != 0 ? "true" : "false");
+    }
+    return text + number(setting.value) +
+           (is_duration(setting.field) ? "us" : "");
+}
+
+struct change_printer
+{
+    std::string operator()(create_service const &value) const
+    {
+        return "create service " + quote(value.name) +
+               (value.plain ? " plain" : " model " + quote(value.model));
+    }
+
+    std::string operator()(drop_service const &value) const
+    {
+        return "drop service " + quote(value.name);
+    }
+
+    std::string operator()(drop_class const &value) const
+    {
+        return "drop class " + quote(value.name) + " of " +
+               quote(value.service);
+    }
+
+    std::string operator()(set_class const &value) const
+    {
+        auto text =
+            "set class " + quote(value.name) + " of " + quote(value.service);
+        std::ranges::for_each(value.settings,
+                              [&text](class_setting const &setting)
+                              { text += text_of(setting); });
+        return text;
+    }
+
+    std::string operator()(assign_engine const &value) const
+    {
+        auto text = "assign engine " + quote(value.engine) + " to " +
+                    quote(value.service);
+        if (!value.address.empty())
+        {
+            text += " at " + quote(value.address) + " in " +
+                    quote(value.data_centre);
+        }
+        if (value.role)
+        {
+            text += " role " + std::string(name_of(*value.role));
+        }
+        if (!value.version.empty())
+        {
+            text += " version " + quote(value.version);
+        }
+        return text;
+    }
+
+    std::string operator()(release_engine const &value) const
+    {
+        return "release engine " + quote(value.engine);
+    }
+
+    std::string operator()(set_limit const &value) const
+    {
+        return "set limit of caller " + quote(value.caller) + " rate " +
+               number(value.rate) +
+               (value.burst ? " burst " + number(*value.burst) : "");
+    }
+
+    std::string operator()(set_drain const &value) const
+    {
+        return std::string(value.draining ? "drain " : "undrain ") +
+               std::string(word_of(drain_target_words, value.target)) + " " +
+               quote(value.name);
+    }
+
+    std::string operator()(set_withdrawn const &value) const
+    {
+        return (value.withdrawn ? "withdraw engine " : "restore engine ") +
+               quote(value.engine);
+    }
+};
+
+struct order_printer
+{
+    std::string operator()(load_version const &value) const
+    {
+        return "load version " + quote(value.version) + " on engine " +
+               quote(value.engine);
+    }
+
+    std::string operator()(load_adapter const &value) const
+    {
+        return "load adapter " + quote(value.adapter) + " version " +
+               quote(value.version) + " on engine " + quote(value.engine);
+    }
+
+    std::string operator()(change_role const &value) const
+    {
+        return "change role of engine " + quote(value.engine) + " to " +
+               std::string(name_of(value.role));
+    }
+};
+
+struct statement_printer
+{
+    std::string operator()(query_statement const &value) const
+    {
+        auto text = "show " + std::string(name_of(value.target));
+        std::string joint = " where ";
+        for (auto const &condition : value.conditions)
+        {
+            text += joint + condition.column + " " +
+                    std::string(word_of(comparison_words, condition.relation)) +
+                    " " + quote(condition.value);
+            joint = " and ";
+        }
+        if (value.order)
+        {
+            text += " order by " + value.order->column +
+                    (value.order->descending ? " desc" : "");
+        }
+        return text + limit_of(value.limit);
+    }
+
+    std::string operator()(transaction_statement const &value) const
+    {
+        std::string const dry = value.dry_run ? "dry run " : "";
+        if (!value.base && value.changes.size() == 1)
+        {
+            return dry + to_text(value.changes.front());
+        }
+        auto text = dry + "begin";
+        if (value.base)
+        {
+            text += " on revision " + std::to_string(*value.base);
+        }
+        text += "; ";
+        std::ranges::for_each(value.changes,
+                              [&text](configuration_change const &change)
+                              { text += to_text(change) + "; "; });
+        return text + "commit";
+    }
+
+    std::string operator()(order_statement const &value) const
+    {
+        return (value.dry_run ? "dry run " : "") + to_text(value.order);
+    }
+
+    std::string operator()(why_statement const &value) const
+    {
+        switch (value.subject)
+        {
+        case why_subject::request:
+            return "why request " + std::to_string(value.request.value_or(0));
+        case why_subject::engine:
+            return "why engine " + quote(value.engine);
+        case why_subject::refusal:
+            return value.request
+                       ? "why refusal " + std::to_string(*value.request)
+                       : "why refusal";
+        }
+        return "";
+    }
+
+    std::string operator()(history_statement const &value) const
+    {
+        return "history" + limit_of(value.limit);
+    }
+
+    std::string operator()(undo_statement const &value) const
+    {
+        return (value.dry_run ? "dry run undo revision " : "undo revision ") +
+               std::to_string(value.revision);
+    }
+
+    static std::string limit_of(std::optional<unsigned> limit)
+    {
+        return limit ? " limit " + std::to_string(*limit) : "";
+    }
+};
+
+} // namespace
+
+std::string to_text(statement const &value)
+{
+    return std::visit(statement_printer{}, value);
+}
+
+std::string to_text(configuration_change const &value)
+{
+    return std::visit(change_printer{}, value);
+}
+
+std::string to_text(order_change const &value)
+{
+    return std::visit(order_printer{}, value);
+}
+
+} // namespace agateledge
