--- a/src/run_serve.cpp
+++ b/src/run_serve.cpp
@@ -4,6 +4,7 @@
 #include "daemon_process.hpp"
 #include "json_log.hpp"
 #include "load_settings.hpp"
+#include "raise_descriptor_limit.hpp"
 
 #include <glib-unix.h>
 
@@ -42,6 +43,7 @@
 
 int run_serve(settings const &config)
 {
+    raise_descriptor_limit();
     auto const start_time = static_cast<std::uint64_t>(g_get_real_time());
     daemon_process daemon(config, incarnation_number(start_time), start_time);
     auto const status = daemon.start();
