Add leases, orders, configuration and membership to the decision core

Cause: the daemon had no authority over engines, kept the configuration it was started with, and did not know of other daemons. Change: `renew_leases`, `issue_orders`, `apply_configuration`, `propose_configuration` and `track_peers`, run by the virtual deployment with heartbeats, configuration fetches, membership reports and orders that arrive late or twice. The engine stand-in undoes a change that a crash interrupts and remembers only the last order. An engine that ignores fencing numbers is taken to ignore the expected generation as well.

--- a/harness/virtual_deployment.hpp
+++ b/harness/virtual_deployment.hpp
@@ -49,6 +49,9 @@
     duration table_service = milliseconds(2);
     duration load_report_interval = milliseconds(200);
     duration load_report_lag = milliseconds(300);
+    duration host_report_interval = seconds(2);
+    /// Time after which a call between daemons counts as failed.
+    duration peer_call_timeout = milliseconds(500);
 };
 
 /// Runs the shipped decision code of a few daemons against the stand-ins in
@@ -81,11 +84,32 @@
     instant now() const { return now_; }
     random_source &random() { return random_; }
     std::vector<virtual_daemon> &daemons() { return daemons_; }
+    std::vector<virtual_daemon> const &daemons() const { return daemons_; }
     std::map<std::string, virtual_engine> &engines() { return engines_; }
     std::map<std::string, standin_service> &services() { return services_; }
     standin_table &table() { return table_; }
+    standin_table const &table() const { return table_; }
     virtual_delays &delays() { return delays_; }
 
+    /// Hook for writes whose answer is lost: returns true when the write itself
+    /// is lost as well, so that it has no effect.
+    std::function<bool(table_call const &)> table_loses;
+
+    /// The platform's list of hosts, which every daemon receives; empty for
+    /// none.
+    std::vector<host_entry> &hosts() { return hosts_; }
+
+    /// Hook for partitions between daemons: returns false when nothing passes
+    /// from one to the other.
+    std::function<bool(std::size_t from, std::size_t to)> daemon_reachable;
+
+    /// Hook for orders: returns the extra delay of each copy that reaches the
+    /// engine; without the hook one copy arrives without extra delay.
+    std::function<std::vector<duration>(engine_order const &)> order_copies;
+
+    /// Called with each copy of an order that reached its engine.
+    std::function<void(engine_order const &, order_outcome)> on_order;
+
     /// Called with each reply to a caller.
     std::function<void(std::size_t daemon, caller_reply const &)> on_reply;
 
@@ -121,6 +145,17 @@
     void send_table_call(std::size_t daemon, table_call const &call);
     void deliver_table_call(std::size_t daemon, table_call const &call);
     void send_order_call(std::size_t daemon, order_call const &call);
+    void deliver_order(std::size_t daemon, engine_order const &order);
+    void send_peer_call(std::size_t daemon, peer_call const &call);
+    void answer_peer_call(std::size_t daemon, std::size_t peer,
+                          heartbeat const &message);
+    void fail_peer_call(std::size_t daemon, std::string const &peer);
+    void send_configuration_fetch(std::size_t daemon,
+                                  configuration_fetch const &fetch);
+    bool reaches(std::size_t from, std::size_t to) const;
+    std::optional<std::size_t> find_daemon(std::string const &name) const;
+    void add_peers();
+    void report_hosts();
     void plan_step(std::string const &engine);
     void advance_engine(std::string const &engine);
     void report_loads();
@@ -138,6 +173,7 @@
     std::map<std::string, virtual_engine> engines_;
     std::map<std::string, standin_service> services_;
     standin_table table_;
+    std::vector<host_entry> hosts_;
 };
 
 } // namespace agateledge
--- a/src/dispatch_requests.cpp
+++ b/src/dispatch_requests.cpp
@@ -1,5 +1,6 @@
 #include "dispatch_requests.hpp"
 
+#include "apply_configuration.hpp"
 #include "claim_calls.hpp"
 #include "request_lifecycle.hpp"
 #include "select_endpoint.hpp"
@@ -98,6 +99,13 @@
     }
     if (!request.arrival.idempotent && !holds_claim(w, request))
     {
+        if (configuration_stale(w))
+        {
+            refuse_request(w, request.arrival.request,
+                           result_code::configuration_stale,
+                           "the revision in force is not confirmed");
+            return true;
+        }
         begin_claim(w, request);
         return true;
     }
--- /dev/null
+++ b/src/follow_changes.cpp
@@ -0,0 +1,51 @@
+#include "follow_changes.hpp"
+
+#include "issue_orders.hpp"
+#include "move_open_work.hpp"
+#include "world.hpp"
+
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+namespace
+{
+
+bool is_over(world const &w, engine_state const &engine,
+             change_notice const &notice)
+{
+    return w.now - notice.heard >= change_notice_lifetime ||
+           (engine.report && engine.report->generation > notice.generation);
+}
+
+} // namespace
+
+void follow_changes(world &w)
+{
+    std::vector<std::string> over;
+    for (auto &[name, notice] : w.orders.notices)
+    {
+        auto const index = w.engines.find(name);
+        if (is_over(w, w.engines.at(*index), notice))
+        {
+            over.push_back(name);
+            continue;
+        }
+        wake_at(w, notice.heard + change_notice_lifetime);
+        auto const move_at = notice.first_heard + w.config.policy.drain_timeout;
+        if (!notice.moved && w.now >= move_at)
+        {
+            notice.moved = true;
+            move_open_work(w, *index);
+        }
+    }
+    for (auto const &name : over)
+    {
+        w.orders.notices.erase(name);
+        refresh_changing(w, name);
+    }
+}
+
+} // namespace agateledge
--- a/src/heartbeat.hpp
+++ b/src/heartbeat.hpp
@@ -4,6 +4,7 @@
 #include "ids.hpp"
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,18 @@
     auto operator<=>(caller_demand const &) const = default;
 };
 
+/// Engine that the holder of its lease is changing.
+struct engine_change
+{
+    std::string engine;
+    /// Generation that the change expects; a higher one ends the change.
+    std::uint64_t generation = 0;
+    /// Time since the holder of the lease stated the change, in microseconds.
+    std::int64_t age_us = 0;
+
+    auto operator<=>(engine_change const &) const = default;
+};
+
 /// State that daemons send each other.
 struct heartbeat
 {
@@ -40,6 +53,8 @@
     std::string address;
     /// Grows with each heartbeat of an incarnation; older ones are dropped.
     std::uint64_t sequence = 0;
+    /// Sequence of the heartbeat that this one replies to; 0 for none.
+    std::uint64_t answers = 0;
     revision_number revision;
     /// Time since the sender, or a daemon that it heard from, read the current
     /// revision in the table service, in microseconds; negative for never.
@@ -47,6 +62,7 @@
     bool draining = false;
     std::vector<engine_share> shares;
     std::vector<caller_demand> demand;
+    std::vector<engine_change> changes;
 
     auto operator<=>(heartbeat const &) const = default;
 };
--- /dev/null
+++ b/src/issue_orders.cpp
@@ -0,0 +1,588 @@
+#include "issue_orders.hpp"
+
+#include "apply_configuration.hpp"
+#include "backoff_delay.hpp"
+#include "call_table.hpp"
+#include "move_open_work.hpp"
+#include "order_targets.hpp"
+#include "renew_leases.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr duration poll_interval = milliseconds(100);
+constexpr duration call_timeout = seconds(2);
+constexpr duration backoff_base = milliseconds(100);
+constexpr duration max_backoff = seconds(2);
+/// Sends of an unresolved order; an accepted one is only asked about.
+constexpr duration resend_interval = seconds(1);
+constexpr duration resend_accepted_interval = seconds(3);
+/// Time for peers to move their open work after the drain has timed out.
+constexpr duration move_time = seconds(5);
+/// Orders recorded for one wish before it is given up.
+constexpr int max_tries = 2;
+
+std::string order_key(std::string const &engine)
+{
+    return "order/" + engine;
+}
+
+void log_order(world &w, order_state const &state, std::string event)
+{
+    auto const &record = state.record;
+    w.out.log_entries.push_back(
+        {log_level::info,
+         std::move(event),
+         {{"engine", state.engine},
+          {"order", record.order.id},
+          {"state", std::string(name_of(record.state))},
+          {"fencing", std::to_string(record.order.fencing.value())}}});
+}
+
+bool takes_engine_away(order_state const &state)
+{
+    return state.step != order_step::idle && state.step != order_step::reading;
+}
+
+bool may_act(world const &w)
+{
+    return holds_authority(w, w.identity.data_centre) && !w.draining &&
+           !configuration_stale(w);
+}
+
+void set_step(world &w, order_state &state, order_step step)
+{
+    state.step = step;
+    if (step == order_step::idle && !state.wanted)
+    {
+        w.orders.active.erase(state.engine);
+    }
+    else
+    {
+        w.orders.active.insert(state.engine);
+    }
+    refresh_changing(w, state.engine);
+}
+
+engine_state const *engine_of(world const &w, order_state const &state)
+{
+    auto const index = w.engines.find(state.engine);
+    return index ? &w.engines.at(*index) : nullptr;
+}
+
+bool checks_fencing(world const &w, order_state const &state)
+{
+    auto const *engine = engine_of(w, state);
+    return engine == nullptr || engine->definition.checks_fencing;
+}
+
+/// An engine that ignores fencing numbers may still receive a copy of an
+/// earlier order until its deadline, or from a holder that was paused between
+/// its check and its send.
+void quarantine(world &w, order_state &state)
+{
+    if (checks_fencing(w, state) || w.faults.skip_order_resolution)
+    {
+        return;
+    }
+    state.quarantined_until =
+        w.now + state.record.order.time_to_live + lease_time_to_live;
+}
+
+void back_off(world &w, order_state &state)
+{
+    ++state.failures;
+    state.not_before = w.now + backoff_delay(w.random, state.failures,
+                                             backoff_base, max_backoff);
+}
+
+void send(world &w, order_state &state, table_call call)
+{
+    state.operation_sent_at = w.now;
+    state.operation = call_table(w, table_owner::order, std::move(call));
+}
+
+void send_read(world &w, order_state &state)
+{
+    table_call call;
+    call.keys.push_back(order_key(state.engine));
+    send(w, state, std::move(call));
+}
+
+/// Writes the record under the condition that neither the lease's holder nor
+/// the row has changed.
+void send_record(world &w, order_state &state)
+{
+    auto const &data_centre = w.identity.data_centre;
+    auto &record = state.record;
+    record.holder = w.identity.name;
+    record.attempt = w.identity.name + ":" +
+                     std::to_string(w.identity.incarnation.value()) +
+                     ":order:" + std::to_string(w.last_operation + 1);
+    table_call call;
+    call.conditions.push_back(
+        {"fence/" + data_centre, w.leases.find(data_centre)->fence_version});
+    call.conditions.push_back({order_key(state.engine), state.row_version});
+    call.puts.push_back(
+        {order_key(state.engine), order_record_to_text(record)});
+    send(w, state, std::move(call));
+}
+
+std::string next_order_id(world &w)
+{
+    return w.identity.name + ":" +
+           std::to_string(w.identity.incarnation.value()) + ":" +
+           std::to_string(++w.orders.last_sequence);
+}
+
+/// Turns the wanted change into a record, or drops it when it is not needed
+/// any more.
+void begin_order(world &w, order_state &state)
+{
+    if (w.now < state.quarantined_until)
+    {
+        return;
+    }
+    auto const wanted = *std::exchange(state.wanted, std::nullopt);
+    auto const *engine = engine_of(w, state);
+    if (engine == nullptr || !engine->configured || !engine->report ||
+        meets_target(*engine->report, wanted))
+    {
+        set_step(w, state, order_step::idle);
+        return;
+    }
+    state.record = {wanted};
+    state.record.tries = state.wanted_tries;
+    auto &order = state.record.order;
+    order.id = next_order_id(w);
+    order.fencing = w.orders.fencing;
+    order.expected_generation = engine->report->generation;
+    state.wanted = wanted;
+    set_step(w, state, order_step::recording);
+    send_record(w, state);
+}
+
+void begin_drain(world &w, order_state &state)
+{
+    state.wanted.reset();
+    state.drain_started.reset();
+    state.last_sent.reset();
+    state.moved = false;
+    state.accepted = false;
+    set_step(w, state, order_step::draining);
+}
+
+void adopt(world &w, order_state &state)
+{
+    state.record.order.fencing = w.orders.fencing;
+    state.wanted.reset();
+    log_order(w, state, "order_adopted");
+    set_step(w, state, order_step::recording);
+}
+
+void take_open_row(world &w, order_state &state)
+{
+    if (state.record.order.fencing == w.orders.fencing)
+    {
+        begin_drain(w, state);
+        return;
+    }
+    adopt(w, state);
+}
+
+void take_row(world &w, order_state &state, table_row const &row)
+{
+    state.row_version = row.version;
+    if (row.version == 0)
+    {
+        set_step(w, state, order_step::idle);
+        return;
+    }
+    auto const record = order_record_from_text(row.value);
+    state.record = record.ok() ? *record : order_record();
+    if (record.ok() && record->state == order_state_name::open &&
+        !w.faults.skip_order_resolution)
+    {
+        take_open_row(w, state);
+        return;
+    }
+    quarantine(w, state);
+    set_step(w, state, order_step::idle);
+}
+
+void finish_order(world &w, order_state &state)
+{
+    auto const &record = state.record;
+    log_order(w, state, "order_resolved");
+    if (record.state == order_state_name::done &&
+        record.order.kind == order_kind::change_role)
+    {
+        ++w.totals.role_changes;
+    }
+    quarantine(w, state);
+    if (record.state == order_state_name::lost && record.tries < max_tries)
+    {
+        state.wanted = record.order;
+        state.wanted_tries = record.tries + 1;
+    }
+    set_step(w, state, order_step::idle);
+}
+
+void take_commit(world &w, order_state &state, table_reply const &reply)
+{
+    auto const key = order_key(state.engine);
+    auto const row = std::ranges::find(reply.rows, key, &table_row::key);
+    if (row == reply.rows.end())
+    {
+        back_off(w, state);
+        return;
+    }
+    state.failures = 0;
+    switch (state.step)
+    {
+    case order_step::reading:
+        take_row(w, state, *row);
+        return;
+    case order_step::recording:
+        state.row_version = row->version;
+        log_order(w, state, "order_recorded");
+        begin_drain(w, state);
+        return;
+    case order_step::resolving:
+        state.row_version = row->version;
+        finish_order(w, state);
+        return;
+    case order_step::idle:
+    case order_step::draining:
+    case order_step::sent:
+        return;
+    }
+}
+
+/// Reads the row again after a write whose effect is not known.
+void read_again(world &w, order_state &state)
+{
+    set_step(w, state, order_step::reading);
+    back_off(w, state);
+}
+
+void take_reply(world &w, order_state &state, table_reply const &reply)
+{
+    state.operation.reset();
+    switch (reply.outcome)
+    {
+    case table_outcome::committed:
+        take_commit(w, state, reply);
+        return;
+    case table_outcome::conflict:
+        w.leases.find(w.identity.data_centre)->next_action = w.now;
+        read_again(w, state);
+        return;
+    case table_outcome::unknown:
+        read_again(w, state);
+        return;
+    case table_outcome::unavailable:
+        back_off(w, state);
+        return;
+    }
+}
+
+void resolve(world &w, order_state &state, order_state_name name)
+{
+    state.record.state = name;
+    set_step(w, state, order_step::resolving);
+    send_record(w, state);
+}
+
+/// @return true when the engine's report or the configuration settles what
+///         became of the order
+bool resolve_from_report(world &w, order_state &state)
+{
+    auto const *engine = engine_of(w, state);
+    auto const &order = state.record.order;
+    if (engine == nullptr || !engine->configured)
+    {
+        auto const since =
+            state.last_sent.value_or(state.drain_started.value_or(w.now));
+        if (w.now - since >= order.time_to_live)
+        {
+            resolve(w, state, order_state_name::abandoned);
+        }
+        return true;
+    }
+    if (!engine->report ||
+        engine->report->generation <= order.expected_generation)
+    {
+        return false;
+    }
+    bool const took_effect = engine->report->last_order == order.id;
+    if (!took_effect || engine->report->ready)
+    {
+        resolve(w, state,
+                took_effect ? order_state_name::done : order_state_name::lost);
+    }
+    return true;
+}
+
+void send_order(world &w, order_state &state)
+{
+    auto const *engine = engine_of(w, state);
+    auto const *lease = w.leases.find(w.identity.data_centre);
+    order_call call;
+    call.address = engine->definition.address;
+    call.order = state.record.order;
+    call.not_after = lease->authority_until;
+    w.out.order_calls.push_back(std::move(call));
+    w.totals.orders_sent += state.last_sent ? 0 : 1;
+    state.last_sent = w.now;
+    set_step(w, state, order_step::sent);
+}
+
+bool is_quiet(world const &w, order_state const &state)
+{
+    auto const *engine = engine_of(w, state);
+    return engine->own_requests == 0 && engine->peer_requests == 0 &&
+           engine->report &&
+           engine->report_measured_at >=
+               *state.drain_started + change_notice_time &&
+           engine->report->running == 0 && engine->report->waiting == 0;
+}
+
+void drain(world &w, order_state &state)
+{
+    if (!state.drain_started)
+    {
+        state.drain_started = w.now;
+    }
+    if (resolve_from_report(w, state))
+    {
+        return;
+    }
+    auto const lasted = w.now - *state.drain_started;
+    if (lasted >= w.config.policy.drain_timeout && !state.moved)
+    {
+        state.moved = true;
+        move_open_work(w, *w.engines.find(state.engine));
+    }
+    if (is_drained(w, state))
+    {
+        send_order(w, state);
+    }
+}
+
+void follow_sent(world &w, order_state &state)
+{
+    if (resolve_from_report(w, state))
+    {
+        return;
+    }
+    auto const interval =
+        state.accepted ? resend_accepted_interval : resend_interval;
+    if (!state.last_sent || w.now - *state.last_sent >= interval)
+    {
+        send_order(w, state);
+    }
+}
+
+/// Without authority nothing is sent, a wish is dropped, and an engine that is
+/// only being drained takes work again.
+void pause_order(world &w, order_state &state)
+{
+    state.wanted.reset();
+    state.drain_started.reset();
+    state.moved = false;
+    if (state.step == order_step::recording)
+    {
+        state.step = order_step::reading;
+    }
+    set_step(w, state, state.step);
+}
+
+void step_order(world &w, order_state &state)
+{
+    switch (state.step)
+    {
+    case order_step::reading:
+        send_read(w, state);
+        return;
+    case order_step::idle:
+        begin_order(w, state);
+        return;
+    case order_step::recording:
+    case order_step::resolving:
+        send_record(w, state);
+        return;
+    case order_step::draining:
+        drain(w, state);
+        return;
+    case order_step::sent:
+        follow_sent(w, state);
+        return;
+    }
+}
+
+void advance(world &w, order_state &state)
+{
+    if (state.operation && w.now - state.operation_sent_at >= call_timeout)
+    {
+        state.operation.reset();
+        read_again(w, state);
+    }
+    if (state.operation)
+    {
+        return;
+    }
+    if (!may_act(w))
+    {
+        pause_order(w, state);
+        return;
+    }
+    if (w.now >= state.not_before)
+    {
+        step_order(w, state);
+    }
+}
+
+void forget_orders(world &w)
+{
+    auto const states = std::exchange(w.orders.states, {});
+    w.orders.active.clear();
+    w.orders.fencing = fencing_number();
+    for (auto const &[engine, state] : states)
+    {
+        refresh_changing(w, engine);
+    }
+}
+
+/// Reads the order rows of the whole data centre at once.
+void begin_term(world &w, fencing_number fencing)
+{
+    w.orders.fencing = fencing;
+    table_call call;
+    for (auto const &engine : w.engines.all())
+    {
+        if (engine.definition.data_centre == w.identity.data_centre)
+        {
+            call.keys.push_back(order_key(engine.definition.name));
+        }
+    }
+    if (call.keys.empty())
+    {
+        return;
+    }
+    auto const operation = call_table(w, table_owner::order, std::move(call));
+    for (auto const &engine : w.engines.all())
+    {
+        if (engine.definition.data_centre != w.identity.data_centre)
+        {
+            continue;
+        }
+        auto &state = w.orders.states[engine.definition.name];
+        state.engine = engine.definition.name;
+        state.operation = operation;
+        state.operation_sent_at = w.now;
+        w.orders.active.insert(state.engine);
+    }
+}
+
+void follow_authority(world &w, lease_state const &lease)
+{
+    bool const other_term = lease.row.fencing != w.orders.fencing;
+    if (w.orders.fencing.value() != 0 && (!lease.held || other_term))
+    {
+        forget_orders(w);
+    }
+    if (lease.held && other_term)
+    {
+        begin_term(w, lease.row.fencing);
+    }
+}
+
+void take_table_reply(world &w, table_reply const &reply)
+{
+    auto const engines = w.orders.active;
+    for (auto const &engine : engines)
+    {
+        auto &state = w.orders.states.at(engine);
+        if (state.operation == reply.operation)
+        {
+            take_reply(w, state, reply);
+        }
+    }
+}
+
+void take_order_reply(world &w, order_reply const &reply)
+{
+    auto const found = w.orders.states.find(reply.engine);
+    if (found == w.orders.states.end() ||
+        found->second.record.order.id != reply.order_id)
+    {
+        return;
+    }
+    if (reply.outcome == order_outcome::refused_fencing)
+    {
+        w.leases.find(w.identity.data_centre)->next_action = w.now;
+    }
+    found->second.accepted = reply.outcome == order_outcome::accepted;
+}
+
+} // namespace
+
+void refresh_changing(world &w, std::string const &engine)
+{
+    auto const index = w.engines.find(engine);
+    if (!index)
+    {
+        return;
+    }
+    auto const state = w.orders.states.find(engine);
+    bool const own = state != w.orders.states.end() &&
+                     takes_engine_away(state->second) && may_act(w);
+    w.engines.at(*index).changing = own || w.orders.notices.contains(engine);
+}
+
+bool is_drained(world const &w, order_state const &state)
+{
+    if (w.faults.skip_drain)
+    {
+        return true;
+    }
+    auto const longest = w.config.policy.drain_timeout + move_time;
+    return is_quiet(w, state) || w.now - *state.drain_started >= longest;
+}
+
+void issue_orders(world &w)
+{
+    auto const *lease = w.leases.find(w.identity.data_centre);
+    if (lease == nullptr)
+    {
+        return;
+    }
+    follow_authority(w, *lease);
+    for (auto const &reply : w.in.table_replies)
+    {
+        if (reply.owner == table_owner::order)
+        {
+            take_table_reply(w, reply);
+        }
+    }
+    std::ranges::for_each(w.in.order_replies, [&w](order_reply const &reply)
+                          { take_order_reply(w, reply); });
+    if (w.orders.active.empty())
+    {
+        return;
+    }
+    auto const engines = w.orders.active;
+    std::ranges::for_each(engines, [&w](std::string const &engine)
+                          { advance(w, w.orders.states.at(engine)); });
+    wake_at(w, w.now + poll_interval);
+}
+
+} // namespace agateledge
--- a/src/outbox.hpp
+++ b/src/outbox.hpp
@@ -94,6 +94,9 @@
 {
     std::string address;
     engine_order order;
+    /// End of the sender's authority; the adapter drops the call when its clock
+    /// shows this time or a later one immediately before the send.
+    instant not_after = instant::max();
 };
 
 /// Heartbeat to one peer; the peer's reply is its own heartbeat.
--- /dev/null
+++ b/src/rendezvous_rank.hpp
@@ -0,0 +1,23 @@
+#ifndef AGATELEDGE_RENDEZVOUS_RANK_HPP
+#define AGATELEDGE_RENDEZVOUS_RANK_HPP
+
+#include <cstddef>
+#include <string_view>
+
+namespace agateledge
+{
+
+struct world;
+
+/// Ranks the live daemons of this daemon's data centre for one duty by
+/// rendezvous hashing, so that daemons agree on the order without messages and
+/// a change of membership moves few duties.
+///
+/// @param w the daemon
+/// @param duty name of the duty
+/// @return this daemon's rank; 0 is the highest
+std::size_t rendezvous_rank(world const &w, std::string_view duty);
+
+} // namespace agateledge
+
+#endif
--- a/src/request_order.cpp
+++ b/src/request_order.cpp
@@ -1,11 +1,55 @@
 #include "request_order.hpp"
 
+#include "apply_configuration.hpp"
+#include "order_targets.hpp"
+#include "renew_leases.hpp"
+#include "world.hpp"
+
 namespace agateledge
 {
 
-bool request_order(world & /*w*/, engine_order const & /*wanted*/)
+namespace
+{
+
+bool may_change(world const &w, engine_state const &engine,
+                engine_order const &wanted)
+{
+    return engine.configured && engine.report && engine.report->ready &&
+           engine.definition.data_centre == w.identity.data_centre &&
+           !meets_target(*engine.report, wanted);
+}
+
+bool is_free(world const &w, std::string const &engine)
+{
+    auto const found = w.orders.states.find(engine);
+    return found == w.orders.states.end() ||
+           (found->second.step == order_step::idle && !found->second.wanted &&
+            w.now >= found->second.quarantined_until);
+}
+
+} // namespace
+
+bool request_order(world &w, engine_order const &wanted)
 {
-    return false;
+    if (w.draining || configuration_stale(w) ||
+        !holds_authority(w, w.identity.data_centre) ||
+        w.orders.fencing.value() == 0)
+    {
+        return false;
+    }
+    auto const index = w.engines.find(wanted.engine);
+    if (!index || !may_change(w, w.engines.at(*index), wanted) ||
+        !is_free(w, wanted.engine))
+    {
+        return false;
+    }
+    auto &state = w.orders.states[wanted.engine];
+    state.engine = wanted.engine;
+    state.wanted = wanted;
+    state.wanted_tries = 1;
+    w.orders.active.insert(wanted.engine);
+    wake_at(w, w.now);
+    return true;
 }
 
 } // namespace agateledge
--- a/src/standin_engine.hpp
+++ b/src/standin_engine.hpp
@@ -24,6 +24,8 @@
     std::string model;
     std::string model_version;
     engine_role role = engine_role::mixed;
+    /// False for an engine that checks neither the fencing number nor the
+    /// expected generation of an order.
     bool checks_fencing = true;
     int max_batch = 32;
     /// Prompt tokens that one step computes at the most.
@@ -93,8 +95,8 @@
     /// Ends a stream early; unknown streams are ignored.
     void cancel(std::string const &key);
 
-    /// Carries out an order. An order that has taken effect is accepted again
-    /// without a second effect.
+    /// Carries out an order. A copy of the order that took effect last is
+    /// accepted without a second effect; earlier ones are not remembered.
     order_outcome order(engine_order const &order, instant now);
 
     /// @return the time at which the current step ends, if one runs
@@ -103,7 +105,8 @@
     /// Ends the steps that are due and appends their events to `events`.
     void advance(instant now, std::vector<standin_event> &events);
 
-    /// Loses all streams and the cache, as a crash and a restart do.
+    /// Loses all streams and the cache, as a crash and a restart do. A change
+    /// that an order began and that was not finished is undone.
     void crash(instant now);
 
     /// @return the true load of the engine; its age is 0
@@ -141,6 +144,7 @@
     void store_prefix(standin_work const &work);
     void record_cache_event(std::uint64_t hash, bool stored);
     void finish_order(instant now);
+    void undo_order();
 
     standin_engine_options options_;
     std::list<sequence> waiting_;
@@ -151,6 +155,16 @@
     std::int64_t kv_tokens_ = 0;
     std::uint64_t generation_ = 1;
     fencing_number highest_fencing_;
+    struct changed_options
+    {
+        engine_role role = engine_role::mixed;
+        std::string model;
+        std::string model_version;
+    };
+    /// What the order that is under way replaces.
+    std::optional<changed_options> before_change_;
+    std::string last_order_;
+    std::string order_before_change_;
     std::vector<engine_order> effects_;
     std::list<std::uint64_t> cache_order_;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -1,12 +1,18 @@
 #include "tick.hpp"
 
+#include "apply_configuration.hpp"
 #include "check_invariants.hpp"
 #include "claim_calls.hpp"
 #include "dispatch_requests.hpp"
+#include "follow_changes.hpp"
 #include "forward_answers.hpp"
 #include "internal_assert.hpp"
+#include "issue_orders.hpp"
+#include "propose_configuration.hpp"
 #include "receive_requests.hpp"
+#include "renew_leases.hpp"
 #include "track_engines.hpp"
+#include "track_peers.hpp"
 #include "world.hpp"
 
 namespace agateledge
@@ -19,7 +25,13 @@
                     now.time_since_epoch().count());
     w.now = now;
     w.next_wake.reset();
+    track_peers(w);
+    apply_configuration(w);
+    follow_proposals(w);
     track_engines(w);
+    renew_leases(w);
+    issue_orders(w);
+    follow_changes(w);
     forward_answers(w);
     receive_requests(w);
     claim_calls(w);
--- /dev/null
+++ b/src/track_peers.cpp
@@ -0,0 +1,393 @@
+#include "track_peers.hpp"
+
+#include "apply_configuration.hpp"
+#include "issue_orders.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr duration round_interval = milliseconds(500);
+constexpr std::size_t calls_per_round = 8;
+constexpr duration shortest_timeout = milliseconds(2500);
+/// Rotations of the heartbeats that a live peer may miss.
+constexpr int missed_rotations = 3;
+/// Peers of the own data centre are called this many times as often.
+constexpr int own_data_centre_weight = 4;
+/// Pause between calls to a peer whose last call failed.
+constexpr duration failed_call_interval = seconds(2);
+/// Time after which a silent peer that is not listed is forgotten.
+constexpr duration forget_after = seconds(60);
+/// Shares in one heartbeat; bounds its size in a large fleet.
+constexpr std::size_t max_shares = 32;
+
+duration peer_timeout(world const &w)
+{
+    auto const rounds =
+        (w.peers.states.size() + calls_per_round - 1) / calls_per_round;
+    return std::max(shortest_timeout, round_interval * missed_rotations *
+                                          static_cast<int>(rounds));
+}
+
+void count_shares(world &w, peer_state const &peer, int sign)
+{
+    for (auto const &share : peer.shares)
+    {
+        auto &engine = w.engines.at(*w.engines.find(share.engine));
+        engine.peer_requests += sign * share.requests;
+        engine.peer_prefill_tokens += sign * share.prefill_tokens;
+        engine.peer_decode_requests += sign * share.decode_requests;
+    }
+}
+
+void replace_shares(world &w, peer_state &peer,
+                    std::vector<engine_share> const &shares)
+{
+    count_shares(w, peer, -1);
+    peer.shares.clear();
+    std::ranges::copy_if(shares, std::back_inserter(peer.shares),
+                         [&w](engine_share const &share)
+                         { return w.engines.find(share.engine).has_value(); });
+    count_shares(w, peer, 1);
+}
+
+peer_condition condition_of(peer_state const &peer, instant now,
+                            duration timeout)
+{
+    if (peer.host_leaving || peer.draining)
+    {
+        return peer_condition::leaving;
+    }
+    bool const heard = peer.heard_at && now - *peer.heard_at <= timeout;
+    return heard && !peer.failed ? peer_condition::live
+                                 : peer_condition::suspect;
+}
+
+bool is_silent(world const &w, peer_state const &peer, duration limit)
+{
+    return !peer.heard_at || w.now - *peer.heard_at > limit;
+}
+
+/// Updates the conditions, and drops what silent peers reported.
+void judge_peers(world &w)
+{
+    auto const timeout = peer_timeout(w);
+    int live = 1;
+    for (auto &[name, peer] : w.peers.states)
+    {
+        peer.condition = condition_of(peer, w.now, timeout);
+        live += peer.condition == peer_condition::live ? 1 : 0;
+        if (is_silent(w, peer, timeout) && !peer.shares.empty())
+        {
+            replace_shares(w, peer, {});
+            peer.demand.clear();
+        }
+    }
+    w.peers.live_daemons = live;
+}
+
+void forget_peers(world &w)
+{
+    std::erase_if(w.peers.states,
+                  [&w](auto const &item)
+                  {
+                      auto const &peer = item.second;
+                      return !peer.listed && peer.shares.empty() &&
+                             is_silent(w, peer, forget_after);
+                  });
+}
+
+void take_notice(world &w, engine_change const &change)
+{
+    auto const index = w.engines.find(change.engine);
+    auto const heard = w.now - duration(change.age_us);
+    bool const own = w.orders.active.contains(change.engine);
+    if (!index || own || w.now - heard >= change_notice_lifetime)
+    {
+        return;
+    }
+    auto &engine = w.engines.at(*index);
+    if (engine.report && engine.report->generation > change.generation)
+    {
+        return;
+    }
+    auto &notice = w.orders.notices.try_emplace(change.engine).first->second;
+    if (notice.generation != change.generation || notice.heard == instant())
+    {
+        notice = {change.generation, w.now, heard, false};
+    }
+    notice.heard = std::max(notice.heard, heard);
+    engine.changing = true;
+}
+
+/// Counts the age of a confirmation from before this daemon's own call, so that
+/// a message that waited while a process was paused confirms nothing.
+void take_confirmation(world &w, peer_state const &peer,
+                       heartbeat const &message)
+{
+    if (message.answers != 0 && message.answers == peer.called_sequence &&
+        message.revision == w.config.revision && message.revision_age_us >= 0)
+    {
+        confirm_revision(w,
+                         *peer.called_at - duration(message.revision_age_us));
+    }
+}
+
+/// @return false for a message that is older than the last one of its sender
+bool take_heartbeat(world &w, heartbeat const &message)
+{
+    if (message.from == w.identity.name)
+    {
+        return false;
+    }
+    auto &peer = w.peers.states[message.from];
+    bool const newer = message.incarnation > peer.incarnation;
+    if (message.incarnation < peer.incarnation ||
+        (!newer && message.sequence <= peer.sequence))
+    {
+        return false;
+    }
+    peer.name = message.from;
+    peer.incarnation = message.incarnation;
+    peer.sequence = message.sequence;
+    peer.address = message.address;
+    peer.data_centre = message.data_centre;
+    peer.heard_at = w.now;
+    peer.failed = false;
+    peer.draining = message.draining;
+    peer.revision = message.revision;
+    peer.demand = message.demand;
+    replace_shares(w, peer, message.shares);
+    take_confirmation(w, peer, message);
+    std::ranges::for_each(message.changes, [&w](engine_change const &change)
+                          { take_notice(w, change); });
+    return true;
+}
+
+void take_failure(world &w, peer_failure const &failure)
+{
+    auto const found = w.peers.states.find(failure.peer);
+    if (found != w.peers.states.end())
+    {
+        found->second.failed = true;
+    }
+}
+
+void list_peer(world &w, host_entry const &host)
+{
+    if (host.name == w.identity.name)
+    {
+        return;
+    }
+    auto &peer = w.peers.states[host.name];
+    peer.name = host.name;
+    peer.data_centre = host.data_centre;
+    peer.address = host.address;
+    peer.listed = true;
+    peer.host_leaving = host.leaving;
+}
+
+std::string without_port(std::string const &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+/// A host is named like the engine, has its address, or runs it under another
+/// port.
+template <class Table>
+void mark_leaving(Table &table, std::set<std::string> const &leaving)
+{
+    for (auto &state : table.all())
+    {
+        auto const &definition = state.definition;
+        state.leaving = leaving.contains(definition.name) ||
+                        leaving.contains(definition.address) ||
+                        leaving.contains(without_port(definition.address));
+    }
+}
+
+void take_membership(world &w, membership_report const &report)
+{
+    for (auto &[name, peer] : w.peers.states)
+    {
+        peer.listed = false;
+        peer.host_leaving = false;
+    }
+    std::set<std::string> leaving;
+    for (auto const &host : report.hosts)
+    {
+        if (host.entry)
+        {
+            list_peer(w, host);
+        }
+        else if (host.leaving)
+        {
+            leaving.insert(host.name);
+            leaving.insert(host.address);
+        }
+    }
+    leaving.erase("");
+    mark_leaving(w.engines, leaving);
+    mark_leaving(w.endpoints, leaving);
+}
+
+/// @return the time since the last call, longer for peers that are called more
+///         often
+duration call_age(world const &w, peer_state const &peer)
+{
+    auto const age = w.now - peer.called_at.value_or(instant(-hours(1)));
+    bool const own = peer.data_centre == w.identity.data_centre;
+    return own ? age * own_data_centre_weight : age;
+}
+
+std::vector<peer_state *> peers_to_call(world &w)
+{
+    std::vector<peer_state *> chosen;
+    for (auto &[name, peer] : w.peers.states)
+    {
+        bool const waits = peer.failed && peer.called_at &&
+                           w.now - *peer.called_at < failed_call_interval;
+        if (!waits && !peer.address.empty())
+        {
+            chosen.push_back(&peer);
+        }
+    }
+    std::ranges::stable_sort(chosen, std::ranges::greater(),
+                             [&w](peer_state const *peer)
+                             { return call_age(w, *peer); });
+    chosen.resize(std::min(chosen.size(), calls_per_round));
+    return chosen;
+}
+
+void begin_round(world &w)
+{
+    w.peers.next_round = w.now + round_interval;
+    forget_peers(w);
+    auto const chosen = peers_to_call(w);
+    if (chosen.empty())
+    {
+        return;
+    }
+    auto const message = own_heartbeat(w, w.now);
+    for (auto *peer : chosen)
+    {
+        peer->called_at = w.now;
+        peer->called_sequence = message.sequence;
+        w.out.peer_calls.push_back({peer->name, peer->address, message});
+    }
+}
+
+std::vector<engine_share> own_shares(world const &w)
+{
+    std::vector<engine_share> shares;
+    for (auto const &engine : w.engines.all())
+    {
+        if (engine.own_requests > 0)
+        {
+            shares.push_back({engine.definition.name, engine.own_requests,
+                              engine.own_prefill_tokens,
+                              engine.own_decode_requests});
+        }
+    }
+    std::ranges::stable_sort(shares, std::ranges::greater(),
+                             &engine_share::requests);
+    shares.resize(std::min(shares.size(), max_shares));
+    return shares;
+}
+
+std::vector<engine_change> known_changes(world const &w, instant now)
+{
+    std::vector<engine_change> changes;
+    for (auto const &name : w.orders.active)
+    {
+        auto const &state = w.orders.states.at(name);
+        auto const engine = w.engines.find(name);
+        if (engine && w.engines.at(*engine).changing)
+        {
+            changes.push_back(
+                {name, state.record.order.expected_generation, 0});
+        }
+    }
+    for (auto const &[name, notice] : w.orders.notices)
+    {
+        changes.push_back(
+            {name, notice.generation, (now - notice.heard).count()});
+    }
+    return changes;
+}
+
+} // namespace
+
+heartbeat own_heartbeat(world &w, instant now, std::uint64_t answers)
+{
+    heartbeat message;
+    message.answers = answers;
+    message.from = w.identity.name;
+    message.incarnation = w.identity.incarnation;
+    message.data_centre = w.identity.data_centre;
+    message.address = w.identity.address;
+    message.sequence = ++w.peers.last_sequence;
+    message.revision = w.config.revision;
+    if (w.config_sync.confirmed_at)
+    {
+        message.revision_age_us = (now - *w.config_sync.confirmed_at).count();
+    }
+    message.draining = w.draining;
+    message.shares = own_shares(w);
+    message.demand = w.peers.own_demand;
+    message.changes = known_changes(w, now);
+    return message;
+}
+
+void add_peer(world &w, std::string const &name, std::string const &address,
+              std::string const &data_centre)
+{
+    if (name == w.identity.name)
+    {
+        return;
+    }
+    auto &peer = w.peers.states[name];
+    peer.name = name;
+    peer.address = address;
+    peer.data_centre = data_centre;
+    peer.listed = true;
+}
+
+int live_daemons(world const &w)
+{
+    return w.peers.live_daemons;
+}
+
+void track_peers(world &w)
+{
+    for (auto const &report : w.in.membership_reports)
+    {
+        take_membership(w, report);
+    }
+    std::ranges::for_each(w.in.peer_failures, [&w](peer_failure const &failure)
+                          { take_failure(w, failure); });
+    std::erase_if(w.in.heartbeats, [&w](heartbeat const &message)
+                  { return !take_heartbeat(w, message); });
+    bool const round_due = w.now >= w.peers.next_round;
+    if (round_due || !w.in.heartbeats.empty() || !w.in.peer_failures.empty() ||
+        !w.in.membership_reports.empty())
+    {
+        judge_peers(w);
+    }
+    if (round_due)
+    {
+        begin_round(w);
+    }
+    wake_at(w, w.peers.next_round);
+}
+
+} // namespace agateledge
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -5,6 +5,7 @@
 #include "caller_table.hpp"
 #include "claim_table.hpp"
 #include "configuration.hpp"
+#include "configuration_state.hpp"
 #include "cost_table.hpp"
 #include "counters.hpp"
 #include "daemon_identity.hpp"
@@ -49,6 +50,9 @@
     std::optional<instant> next_wake;
     /// Revision in force.
     configuration config;
+    /// Written as the first revision when the table service has none.
+    std::optional<configuration> initial_config;
+    configuration_state config_sync;
     engine_table engines;
     endpoint_table endpoints;
     request_table requests;
--- /dev/null
+++ b/test/correctness/fixed_seed_check.hpp
@@ -0,0 +1,57 @@
+#ifndef AGATELEDGE_TEST_CORRECTNESS_FIXED_SEED_CHECK_HPP
+#define AGATELEDGE_TEST_CORRECTNESS_FIXED_SEED_CHECK_HPP
+
+#include "internal_assert.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <sstream>
+#include <stdexcept>
+#include <string>
+
+namespace agateledge
+{
+
+/// Makes failed assertions of the program fail the running case.
+class throwing_assertions
+{
+public:
+    throwing_assertions()
+    {
+        set_assertion_handler([](std::string const &message)
+                              { throw std::runtime_error(message); });
+    }
+    ~throwing_assertions() { set_assertion_handler({}); }
+    throwing_assertions(throwing_assertions const &) = delete;
+    throwing_assertions &operator=(throwing_assertions const &) = delete;
+};
+
+/// Runs a RapidCheck property with a fixed seed, so that the verdict is the
+/// same every time.
+///
+/// @param shrink whether a failing case is reduced before it is reported
+/// @return the message of the failure, or nothing
+template <class Property>
+std::string run_with_seed(std::uint64_t seed, int cases, Property &&property,
+                          bool shrink = true)
+{
+    throwing_assertions const assertions;
+    rc::detail::TestParams params;
+    params.seed = seed;
+    params.maxSuccess = cases;
+    params.disableShrinking = !shrink;
+    auto const result = rc::detail::checkTestable(
+        std::forward<Property>(property), rc::detail::TestMetadata(), params);
+    if (result.template is<rc::detail::SuccessResult>())
+    {
+        return {};
+    }
+    std::ostringstream text;
+    rc::detail::printResultMessage(result, text);
+    return text.str();
+}
+
+} // namespace agateledge
+
+#endif
