--- a/harness/virtual_deployment.hpp
+++ b/harness/virtual_deployment.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     bool paused = false;
     /// Time of the tick that is already planned.
     instant planned_tick = instant::max();
+    /// Times at which the queue holds a check whether a tick is due.
+    std::set<instant> queued_checks;
 };
 
 /// One engine of a virtual deployment.
@@ -39,6 +42,8 @@
     instant planned_step = instant::max();
     /// Daemon and attempt that each stream's events go to.
     std::map<std::string, std::pair<std::size_t, attempt_number>> readers;
+    /// Last cache event that was reported.
+    std::uint64_t cache_sequence = 0;
 };
 
 /// Delays of a virtual deployment, one way.
@@ -52,6 +57,8 @@
     duration host_report_interval = seconds(2);
     /// Time after which a call between daemons counts as failed.
     duration peer_call_timeout = milliseconds(500);
+    /// Share of the batches of cache events that are lost.
+    double cache_event_loss = 0.05;
 };
 
 /// Runs the shipped decision code of a few daemons against the stand-ins in
@@ -90,6 +97,8 @@
     standin_table &table() { return table_; }
     standin_table const &table() const { return table_; }
     virtual_delays &delays() { return delays_; }
+    /// Data centres that are cut off from the others.
+    std::set<std::string> &isolated() { return isolated_; }
 
     /// Hook for writes whose answer is lost: returns true when the write itself
     /// is lost as well, so that it has no effect.
@@ -137,6 +146,7 @@
     };
 
     void plan_tick(std::size_t daemon, instant when);
+    void check_tick(std::size_t daemon, instant when);
     void run_tick(std::size_t daemon);
     void carry_out(std::size_t daemon);
     void send_engine_call(std::size_t daemon, engine_call const &call);
@@ -159,7 +169,10 @@
     void plan_step(std::string const &engine);
     void advance_engine(std::string const &engine);
     void report_loads();
+    void report_cache_events(virtual_engine &engine);
     void deliver_event(std::size_t daemon, engine_event event);
+    void deliver_events(std::size_t daemon, std::vector<engine_event> events);
+    bool reachable(std::size_t daemon, std::string const &engine) const;
     duration delay_to(std::size_t daemon, std::string const &data_centre) const;
 
     random_source random_;
@@ -169,6 +182,7 @@
                         std::greater<>>
         queue_;
     virtual_delays delays_;
+    std::set<std::string> isolated_;
     std::vector<virtual_daemon> daemons_;
     std::map<std::string, virtual_engine> engines_;
     std::map<std::string, standin_service> services_;
--- a/src/apply_configuration.cpp
+++ b/src/apply_configuration.cpp
@@ -208,8 +208,31 @@
     wake_at(w, sync.next_poll);
 }
 
+void install(world &w, configuration config)
+{
+    w.config = std::move(config);
+    w.engines.configure(w.config.engines);
+    w.endpoints.configure(w.config.endpoints);
+    w.candidates.invalidate();
+}
+
 } // namespace
 
+void use_initial_configuration(world &w, configuration initial)
+{
+    w.initial_config = initial;
+    initial.revision = revision_number();
+    install(w, std::move(initial));
+}
+
+bool configuration_pending(world const &w)
+{
+    auto const &sync = w.config_sync;
+    return !sync.confirmed_at &&
+           (!sync.started_at ||
+            w.now - *sync.started_at <= configuration_stale_after);
+}
+
 bool put_in_force(world &w, configuration const &config)
 {
     if (config.revision <= w.config.revision &&
@@ -217,9 +240,7 @@
     {
         return false;
     }
-    w.config = config;
-    w.engines.configure(config.engines);
-    w.endpoints.configure(config.endpoints);
+    install(w, config);
     w.out.log_entries.push_back(
         {log_level::info,
          "configuration_in_force",
@@ -241,6 +262,10 @@
 
 void apply_configuration(world &w)
 {
+    if (!w.config_sync.started_at)
+    {
+        w.config_sync.started_at = w.now;
+    }
     for (auto const &reply : w.in.table_replies)
     {
         if (reply.owner == table_owner::configuration)
--- a/src/apply_configuration.hpp
+++ b/src/apply_configuration.hpp
@@ -18,6 +18,11 @@
 /// @return true when the configuration is now in force
 bool put_in_force(world &w, configuration const &config);
 
+/// Serves by the configuration of the settings, as revision 0, until the table
+/// service or a peer has told the current one. Until then nothing that needs a
+/// confirmed configuration is done.
+void use_initial_configuration(world &w, configuration initial);
+
 /// Notes that the revision in force was the current one at `when`.
 void confirm_revision(world &w, instant when);
 
@@ -28,6 +33,10 @@
 /// one from the settings becomes its first revision.
 void apply_configuration(world &w);
 
+/// @return true when the daemon has just started and has not yet had the time
+///         to confirm its configuration
+bool configuration_pending(world const &w);
+
 /// @return true when the revision in force was not confirmed for
 ///         `configuration_stale_after`, so that orders and non-idempotent calls
 ///         are refused
--- a/src/configuration_state.hpp
+++ b/src/configuration_state.hpp
@@ -49,6 +49,7 @@
     /// Latest time at which the revision in force was known to be current.
     std::optional<instant> confirmed_at;
     revision_number highest;
+    std::optional<instant> started_at;
     configuration_step step = configuration_step::idle;
     operation_number operation;
     instant operation_sent_at{};
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -8,6 +8,7 @@
 #include "forward_answers.hpp"
 #include "internal_assert.hpp"
 #include "issue_orders.hpp"
+#include "plan_role_changes.hpp"
 #include "propose_configuration.hpp"
 #include "receive_requests.hpp"
 #include "renew_leases.hpp"
@@ -36,6 +37,7 @@
     receive_requests(w);
     claim_calls(w);
     dispatch_requests(w);
+    plan_role_changes(w);
     check_invariants(w);
     w.in = {};
 }
