--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -194,6 +194,13 @@
                           { send_table_call(index, call); });
     std::ranges::for_each(out.order_calls, [&](order_call const &call)
                           { send_order_call(index, call); });
+    for (auto const &reply : out.operator_replies)
+    {
+        if (on_operator_reply)
+        {
+            on_operator_reply(index, reply);
+        }
+    }
     std::ranges::for_each(out.peer_calls, [&](peer_call const &call)
                           { send_peer_call(index, call); });
     std::ranges::for_each(out.configuration_fetches,
--- a/harness/virtual_deployment.hpp
+++ b/harness/virtual_deployment.hpp
@@ -116,6 +116,10 @@
     /// engine; without the hook one copy arrives without extra delay.
     std::function<std::vector<duration>(engine_order const &)> order_copies;
 
+    /// Called with each reply to an operator.
+    std::function<void(std::size_t daemon, operator_reply const &)>
+        on_operator_reply;
+
     /// Called with each copy of an order that reached its engine.
     std::function<void(engine_order const &, order_outcome)> on_order;
 
--- a/test/correctness/fixed_seed_check.hpp
+++ b/test/correctness/fixed_seed_check.hpp
@@ -27,6 +27,12 @@
     throwing_assertions &operator=(throwing_assertions const &) = delete;
 };
 
+/// `inRange` alone draws only small numbers in the first cases.
+inline rc::Gen<int> whole_range(int end)
+{
+    return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, end));
+}
+
 /// Runs a RapidCheck property with a fixed seed, so that the verdict is the
 /// same every time.
 ///
--- a/test/correctness/order_model_test.cpp
+++ b/test/correctness/order_model_test.cpp
@@ -16,12 +16,6 @@
 namespace
 {
 
-/// `inRange` alone draws only small numbers in the first cases.
-rc::Gen<int> whole_range(int end)
-{
-    return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, end));
-}
-
 rc::Gen<order_model_step> any_step()
 {
     auto const event =
