--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -79,9 +79,7 @@
     {
         return keys;
     }
-    auto initial = config_.initial;
-    initial.revision = std::max(initial.revision, revision_number(1));
-    put_in_force(state_, initial);
+    use_initial_configuration(state_, config_.initial);
     auto listening = callers_.start(config_.caller_address, config_.caller_tls);
     if (listening.ok())
     {
