Bound heartbeats and load polls by a byte budget

Change: calls to peers draw on 1,750 bytes a second (a daemon answers as many as it makes), go to every peer of the own data centre in turn and to 2 partners in each other one; load polls draw on 3,000 bytes a second and prefer engines with open work. Conclusion: control traffic no longer grows with the fleet; the age of what is known does.

--- a/src/engine_poller.cpp
+++ b/src/engine_poller.cpp
@@ -16,11 +16,19 @@
 namespace
 {
 
-/// Interval per engine in a small fleet.
+/// Shortest interval per engine.
 constexpr duration poll_interval = milliseconds(400);
-/// Least time between two polls; with two calls a poll this bounds the load
-/// polls of one daemon to 80 calls a second.
-constexpr duration min_spacing = milliseconds(25);
+/// Engines with open work are polled this many times as often as idle ones.
+constexpr int open_work_weight = 8;
+/// Time between two looks at the budget.
+constexpr duration spacing = milliseconds(25);
+/// Share of the 8 KB/s that a daemon may spend on control.
+constexpr double bytes_per_second = 3000;
+constexpr double burst_bytes = 16000;
+/// Request line and headers of a poll and of its answer.
+constexpr std::size_t header_bytes = 330;
+/// Polls of an engine for one poll of its cache events.
+constexpr int polls_per_cache_poll = 4;
 constexpr duration poll_timeout = seconds(1);
 constexpr int http_ok = 200;
 
@@ -42,7 +50,8 @@
 
 engine_poller::engine_poller(world const &state, http_client &http,
                              daemon_loop &loop)
-    : state_(state), http_(http), loop_(loop)
+    : state_(state), http_(http), loop_(loop),
+      bytes_(bytes_per_second, burst_bytes)
 {
 }
 
@@ -61,9 +70,6 @@
 
 void engine_poller::schedule()
 {
-    auto const count =
-        static_cast<int>(std::max<std::size_t>(1, state_.engines.all().size()));
-    auto const spacing = std::max(min_spacing, poll_interval / count);
     timer_ = g_timeout_add(
         static_cast<guint>(
             std::chrono::duration_cast<milliseconds>(spacing).count()),
@@ -79,29 +85,58 @@
 
 void engine_poller::poll_next()
 {
-    auto const &engines = state_.engines.all();
-    if (engines.empty())
+    if (bytes_.available(daemon_loop::clock_now()) <= 0)
     {
         return;
     }
-    next_ = (next_ + 1) % engines.size();
-    auto const &engine = engines[next_];
-    if (engine.configured && !engine.definition.withdrawn &&
-        !cursors_[engine.definition.name].polling)
+    if (auto const *engine = choose())
     {
-        poll_load(engine.definition);
+        poll_load(*engine);
     }
 }
 
+engine_definition const *engine_poller::choose()
+{
+    auto const now = daemon_loop::clock_now();
+    engine_definition const *chosen = nullptr;
+    duration longest = poll_interval;
+    for (auto const &engine : state_.engines.all())
+    {
+        auto const &cursor = cursors_[engine.definition.name];
+        if (!engine.configured || engine.definition.withdrawn || cursor.polling)
+        {
+            continue;
+        }
+        auto const age = now - cursor.polled_at;
+        auto const due = engine.own_requests > 0 ? age * open_work_weight : age;
+        if (age >= poll_interval && due >= longest)
+        {
+            longest = due;
+            chosen = &engine.definition;
+        }
+    }
+    return chosen;
+}
+
+void engine_poller::charge(std::size_t reply_bytes)
+{
+    bytes_.force(daemon_loop::clock_now(),
+                 static_cast<double>(header_bytes + reply_bytes));
+}
+
 void engine_poller::poll_load(engine_definition const &engine)
 {
-    cursors_[engine.name].polling = true;
+    auto &started = cursors_[engine.name];
+    started.polling = true;
+    started.polled_at = daemon_loop::clock_now();
+    ++started.polls;
     http_.send(make_get(engine.address, "/v1/load"),
                [this, name = engine.name,
                 address = engine.address](http_reply const &reply)
                {
                    auto &cursor = cursors_[name];
                    cursor.polling = false;
+                   charge(reply.body.size());
                    auto report = load_report_from_text(name, reply.body);
                    if (!is_good(reply) || !report.ok())
                    {
@@ -113,7 +148,10 @@
                    }
                    cursor.generation = report->generation;
                    loop_.input().load_reports.push_back(*std::move(report));
-                   poll_cache(name, address);
+                   if (cursor.polls % polls_per_cache_poll == 0)
+                   {
+                       poll_cache(name, address);
+                   }
                });
 }
 
@@ -125,6 +163,7 @@
         make_get(address, "/v1/cache_events?after=" + std::to_string(after)),
         [this, name](http_reply const &reply)
         {
+            charge(reply.body.size());
             auto events = cache_events_from_text(name, reply.body);
             if (!is_good(reply) || !events.ok() || events->empty())
             {
--- a/src/engine_poller.hpp
+++ b/src/engine_poller.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_ENGINE_POLLER_HPP
 
 #include "time.hpp"
+#include "token_bucket.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -16,9 +17,10 @@
 struct engine_definition;
 struct world;
 
-/// Asks the configured engines in turn for their load and their cache events.
-/// The number of calls a second is bounded, so that the interval per engine
-/// grows with the fleet and the cost does not.
+/// Asks the configured engines for their load and their cache events, those
+/// that have open work first. The bytes a second are bounded, so that the
+/// interval per engine grows with the fleet and the cost does not; engines in
+/// use also report their load in the answers that they stream.
 class engine_poller
 {
 public:
@@ -40,9 +42,13 @@
         std::uint64_t last_cache_event = 0;
         std::uint64_t generation = 0;
         bool polling = false;
+        instant polled_at{};
+        int polls = 0;
     };
 
     void poll_next();
+    engine_definition const *choose();
+    void charge(std::size_t reply_bytes);
     void poll_load(engine_definition const &engine);
     void poll_cache(std::string const &name, std::string const &address);
     void schedule();
@@ -51,7 +57,7 @@
     http_client &http_;
     daemon_loop &loop_;
     std::unordered_map<std::string, engine_cursor> cursors_;
-    std::size_t next_ = 0;
+    token_bucket bytes_;
     unsigned timer_ = 0;
 };
 
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -4,6 +4,7 @@
 #include "heartbeat.hpp"
 #include "ids.hpp"
 #include "time.hpp"
+#include "token_bucket.hpp"
 
 #include <map>
 #include <optional>
@@ -13,6 +14,12 @@
 namespace agateledge
 {
 
+/// Bytes a second for the heartbeats that one daemon sends and their answers. A
+/// daemon takes part in as many calls of others, so that its whole traffic is
+/// twice this; the budget for all control is 8 KB/s.
+inline constexpr double heartbeat_bytes_per_second = 1750;
+inline constexpr double heartbeat_burst_bytes = 8000;
+
 enum class peer_condition
 {
     /// Heard from within the timeout.
@@ -59,6 +66,10 @@
     std::vector<caller_demand> own_demand;
     std::uint64_t last_sequence = 0;
     instant next_round{};
+    /// Bytes that this daemon may spend on its calls to peers.
+    token_bucket call_bytes{heartbeat_bytes_per_second, heartbeat_burst_bytes};
+    /// Bytes of the last call and its answer.
+    double last_call_bytes = 1000;
     /// Live daemons with this one.
     int live_daemons = 1;
 };
--- a/src/token_bucket.hpp
+++ b/src/token_bucket.hpp
@@ -19,25 +19,34 @@
     {
     }
 
-    /// Takes one token.
+    /// Takes tokens.
     ///
-    /// @return false when none is left
-    bool take(instant now)
+    /// @param now time of the daemon's clock
+    /// @param tokens number to take
+    /// @return false when fewer are left; none is taken then
+    bool take(instant now, double tokens = 1)
     {
         refill(now);
-        if (tokens_ < 1)
+        if (tokens_ < tokens)
         {
             return false;
         }
-        --tokens_;
+        tokens_ -= tokens;
         return true;
     }
 
-    /// Takes one token, below zero if none is left.
-    void force(instant now)
+    /// Takes tokens, below zero if too few are left.
+    void force(instant now, double tokens = 1)
     {
         refill(now);
-        --tokens_;
+        tokens_ -= tokens;
+    }
+
+    /// @return tokens that are left at `now`
+    double available(instant now)
+    {
+        refill(now);
+        return tokens_;
     }
 
 private:
--- a/src/track_peers.cpp
+++ b/src/track_peers.cpp
@@ -4,8 +4,11 @@
 #include "issue_orders.hpp"
 #include "world.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <iterator>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
@@ -17,7 +20,15 @@
 {
 
 constexpr duration round_interval = milliseconds(500);
-constexpr std::size_t calls_per_round = 8;
+/// Bytes of one exchange without its lists: headers and envelope of the call
+/// and of its answer.
+constexpr std::size_t exchange_bytes = 900;
+constexpr std::size_t share_bytes = 90;
+constexpr std::size_t demand_bytes = 80;
+constexpr std::size_t change_bytes = 60;
+/// Daemons of another data centre that one daemon calls. Every daemon has
+/// partners of its own, so that news crosses by many ways.
+constexpr std::size_t partners_elsewhere = 2;
 constexpr duration shortest_timeout = milliseconds(2500);
 /// Rotations of the heartbeats that a live peer may miss.
 constexpr int missed_rotations = 3;
@@ -30,12 +41,21 @@
 /// Shares in one heartbeat; bounds its size in a large fleet.
 constexpr std::size_t max_shares = 32;
 
+/// @return bytes of a call with `message` and of an answer of the same size
+double bytes_of(heartbeat const &message)
+{
+    auto const lists = message.shares.size() * share_bytes +
+                       message.demand.size() * demand_bytes +
+                       message.changes.size() * change_bytes;
+    return static_cast<double>(exchange_bytes + 2 * lists);
+}
+
 duration peer_timeout(world const &w)
 {
-    auto const rounds =
-        (w.peers.states.size() + calls_per_round - 1) / calls_per_round;
-    return std::max(shortest_timeout, round_interval * missed_rotations *
-                                          static_cast<int>(rounds));
+    auto const rotation =
+        from_seconds(static_cast<double>(w.peers.states.size()) *
+                     w.peers.last_call_bytes / heartbeat_bytes_per_second);
+    return std::max(shortest_timeout, rotation * missed_rotations);
 }
 
 void count_shares(world &w, peer_state const &peer, int sign)
@@ -249,11 +269,45 @@
     return own ? age * own_data_centre_weight : age;
 }
 
+/// Rank of a peer among those of its data centre, for this daemon alone.
+std::uint64_t partner_rank(world const &w, peer_state const &peer)
+{
+    auto const text = w.identity.name + "/" + peer.name;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+/// @return names of the peers of other data centres that this daemon calls
+std::set<std::string> partners_of(world const &w)
+{
+    std::map<std::string, std::map<std::uint64_t, std::string>> ranked;
+    for (auto const &[name, peer] : w.peers.states)
+    {
+        ranked[peer.data_centre][partner_rank(w, peer)] = name;
+    }
+    std::set<std::string> partners;
+    for (auto const &[data_centre, peers] : ranked)
+    {
+        bool const own = data_centre == w.identity.data_centre;
+        auto const count =
+            own ? peers.size() : std::min(peers.size(), partners_elsewhere);
+        std::transform(peers.begin(),
+                       std::next(peers.begin(), static_cast<long>(count)),
+                       std::inserter(partners, partners.end()),
+                       [](auto const &item) { return item.second; });
+    }
+    return partners;
+}
+
 std::vector<peer_state *> peers_to_call(world &w)
 {
+    auto const partners = partners_of(w);
     std::vector<peer_state *> chosen;
     for (auto &[name, peer] : w.peers.states)
     {
+        if (!partners.contains(name))
+        {
+            continue;
+        }
         bool const waits = peer.failed && peer.called_at &&
                            w.now - *peer.called_at < failed_call_interval;
         if (!waits && !peer.address.empty())
@@ -264,7 +318,6 @@
     std::ranges::stable_sort(chosen, std::ranges::greater(),
                              [&w](peer_state const *peer)
                              { return call_age(w, *peer); });
-    chosen.resize(std::min(chosen.size(), calls_per_round));
     return chosen;
 }
 
@@ -278,8 +331,13 @@
         return;
     }
     auto const message = own_heartbeat(w, w.now);
+    w.peers.last_call_bytes = bytes_of(message);
     for (auto *peer : chosen)
     {
+        if (!w.peers.call_bytes.take(w.now, w.peers.last_call_bytes))
+        {
+            return;
+        }
         peer->called_at = w.now;
         peer->called_sequence = message.sequence;
         w.out.peer_calls.push_back({peer->name, peer->address, message});
