--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -117,6 +117,14 @@
 
 void engine_client::send_order(order_call const &call)
 {
+    // The process may have been paused since the tick checked its authority.
+    if (daemon_loop::clock_now() >= call.not_after)
+    {
+        loop_.input().order_replies.push_back(
+            {call.order.engine, call.order.id,
+             order_outcome::failed_before_send});
+        return;
+    }
     http_request request;
     request.method = "POST";
     request.address = call.address;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -4,7 +4,6 @@
 #include "result_code.hpp"
 #include "socket_address.hpp"
 
-#include <charconv>
 #include <utility>
 
 namespace agateledge
@@ -47,7 +46,7 @@
 absl::Status http_server::listen(std::string const &address)
 {
     auto const socket_address = parse_socket_address(address);
-    if (socket_address == nullptr)
+    if (!socket_address)
     {
         return make_status(result_code::settings_invalid,
                            "\"" + address + "\" is not IP:port");
--- /dev/null
+++ b/src/peer_messages.cpp
@@ -0,0 +1,219 @@
+#include "peer_messages.hpp"
+
+#include "json_text.hpp"
+#include "result_code.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Items of one list in a message; a signed peer sends far fewer.
+constexpr Json::ArrayIndex max_items = 100000;
+
+/// Longest age that is believed, so that a subtraction cannot overflow.
+constexpr std::int64_t max_age_us = std::int64_t{86400} * 1000000;
+
+template <class Item, class Convert>
+Json::Value list_to_json(std::vector<Item> const &items, Convert convert)
+{
+    Json::Value out(Json::arrayValue);
+    std::ranges::for_each(items,
+                          [&](Item const &item) { out.append(convert(item)); });
+    return out;
+}
+
+template <class Convert>
+auto list_from(Json::Value const &in, Convert convert)
+{
+    std::vector<decltype(convert(in))> out;
+    if (!in.isArray() || in.size() > max_items)
+    {
+        Json::throwRuntimeError("not a list, or one of too many items");
+    }
+    std::transform(in.begin(), in.end(), std::back_inserter(out), convert);
+    return out;
+}
+
+int count_from(Json::Value const &in)
+{
+    auto const value = in.asInt();
+    if (value < 0)
+    {
+        Json::throwRuntimeError("a count is negative");
+    }
+    return value;
+}
+
+std::int64_t age_from(Json::Value const &in)
+{
+    return std::clamp<std::int64_t>(in.asInt64(), 0, max_age_us);
+}
+
+/// @return -1 for an age that is not known
+std::int64_t optional_age_from(Json::Value const &in)
+{
+    return in.asInt64() < 0 ? -1 : age_from(in);
+}
+
+Json::Value share_to_json(engine_share const &share)
+{
+    Json::Value out;
+    out["engine"] = share.engine;
+    out["requests"] = share.requests;
+    out["prefill_tokens"] = share.prefill_tokens;
+    out["decode_requests"] = share.decode_requests;
+    return out;
+}
+
+engine_share share_from(Json::Value const &in)
+{
+    return {in["engine"].asString(), count_from(in["requests"]),
+            count_from(in["prefill_tokens"]),
+            count_from(in["decode_requests"])};
+}
+
+Json::Value demand_to_json(caller_demand const &demand)
+{
+    Json::Value out;
+    out["caller"] = demand.caller;
+    out["class"] = demand.class_name;
+    out["rate"] = demand.requests_per_second;
+    return out;
+}
+
+caller_demand demand_from(Json::Value const &in)
+{
+    return {in["caller"].asString(), in["class"].asString(),
+            std::max(0.0, in["rate"].asDouble())};
+}
+
+Json::Value change_to_json(engine_change const &change)
+{
+    Json::Value out;
+    out["engine"] = change.engine;
+    out["generation"] = Json::UInt64(change.generation);
+    out["age_us"] = Json::Int64(change.age_us);
+    return out;
+}
+
+engine_change change_from(Json::Value const &in)
+{
+    return {in["engine"].asString(), in["generation"].asUInt64(),
+            age_from(in["age_us"])};
+}
+
+heartbeat read_heartbeat(Json::Value const &in)
+{
+    heartbeat out;
+    out.from = in["from"].asString();
+    out.incarnation = incarnation_number(in["incarnation"].asUInt64());
+    out.data_centre = in["data_centre"].asString();
+    out.address = in["address"].asString();
+    out.sequence = in["sequence"].asUInt64();
+    out.answers = in["answers"].asUInt64();
+    out.revision = revision_number(in["revision"].asUInt64());
+    out.revision_age_us = optional_age_from(in["revision_age_us"]);
+    out.draining = in["draining"].asBool();
+    out.shares = list_from(in["shares"], share_from);
+    out.demand = list_from(in["demand"], demand_from);
+    out.changes = list_from(in["changes"], change_from);
+    return out;
+}
+
+configuration_document read_configuration_reply(Json::Value const &in)
+{
+    configuration_document out;
+    out.from = in["from"].asString();
+    out.document = in["document"].asString();
+    out.revision_age_us = optional_age_from(in["revision_age_us"]);
+    return out;
+}
+
+host_entry host_from(Json::Value const &in)
+{
+    return {in["name"].asString(), in["data_centre"].asString(),
+            in["address"].asString(), in["leaving"].asBool(),
+            in["entry"].asBool()};
+}
+
+membership_report read_report(Json::Value const &in)
+{
+    return {list_from(in["hosts"], host_from)};
+}
+
+/// Reads a document by `read`; a fault in it becomes a status.
+template <class Read>
+auto read_document(std::string const &text, char const *what, Read read)
+    -> absl::StatusOr<decltype(read(Json::Value()))>
+{
+    auto const in = json_from_text(text);
+    if (!in.ok())
+    {
+        return in.status();
+    }
+    try
+    {
+        return read(*in);
+    }
+    catch (Json::Exception const &error)
+    {
+        return make_status(result_code::invalid_request,
+                           std::string(what) + ": " + error.what());
+    }
+}
+
+} // namespace
+
+std::string heartbeat_to_text(heartbeat const &message)
+{
+    Json::Value out;
+    out["from"] = message.from;
+    out["incarnation"] = Json::UInt64(message.incarnation.value());
+    out["data_centre"] = message.data_centre;
+    out["address"] = message.address;
+    out["sequence"] = Json::UInt64(message.sequence);
+    out["answers"] = Json::UInt64(message.answers);
+    out["revision"] = Json::UInt64(message.revision.value());
+    out["revision_age_us"] = Json::Int64(message.revision_age_us);
+    out["draining"] = message.draining;
+    out["shares"] = list_to_json(message.shares, share_to_json);
+    out["demand"] = list_to_json(message.demand, demand_to_json);
+    out["changes"] = list_to_json(message.changes, change_to_json);
+    return json_to_text(out);
+}
+
+absl::StatusOr<heartbeat> heartbeat_from_text(std::string const &text)
+{
+    return read_document(text, "heartbeat", read_heartbeat);
+}
+
+std::string configuration_reply_to_text(configuration_document const &document)
+{
+    Json::Value out;
+    out["from"] = document.from;
+    out["document"] = document.document;
+    out["revision_age_us"] = Json::Int64(document.revision_age_us);
+    return json_to_text(out);
+}
+
+absl::StatusOr<configuration_document>
+configuration_reply_from_text(std::string const &text)
+{
+    return read_document(text, "configuration reply", read_configuration_reply);
+}
+
+absl::StatusOr<membership_report>
+membership_report_from_text(std::string const &text)
+{
+    return read_document(text, "list of hosts", read_report);
+}
+
+} // namespace agateledge
