--- a/src/daemon_process.hpp
+++ b/src/daemon_process.hpp
@@ -7,6 +7,9 @@
 #include "engine_poller.hpp"
 #include "http_client.hpp"
 #include "ids.hpp"
+#include "membership_client.hpp"
+#include "peer_client.hpp"
+#include "peer_listener.hpp"
 #include "service_client.hpp"
 #include "settings.hpp"
 #include "signing_keys.hpp"
@@ -53,12 +56,17 @@
     http_client &http() { return http_; }
     caller_listener &callers() { return callers_; }
 
+    /// Listener for other daemons; listens only with a file of peer keys.
+    peer_listener &peers() { return peer_listener_; }
+
     /// Called once the shutdown has finished.
     std::function<void()> on_stopped;
 
 private:
     void install_handlers();
     absl::Status load_keys();
+    absl::Status start_peers();
+    void install_peer_handlers();
     void check_stopped();
 
     settings config_;
@@ -71,6 +79,10 @@
     engine_poller poller_;
     service_client services_;
     table_client table_;
+    signing_keys peer_keys_;
+    peer_listener peer_listener_;
+    peer_client peer_client_;
+    membership_client membership_;
     unsigned stop_timer_ = 0;
 };
 
