--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -2,6 +2,8 @@
 
 #include "apply_configuration.hpp"
 #include "json_log.hpp"
+#include "renew_leases.hpp"
+#include "track_peers.hpp"
 
 #include <glib.h>
 
@@ -30,9 +32,13 @@
       callers_(state_, loop_, request_keys_, config_.limits),
       engines_(http_, loop_), poller_(state_, http_, loop_),
       services_(http_, loop_),
-      table_(http_, loop_, config_.table_address, config_.store)
+      table_(http_, loop_, config_.table_address, config_.store),
+      peer_listener_(state_, loop_, peer_keys_),
+      peer_client_(state_.identity, http_, loop_, peer_keys_),
+      membership_(http_, loop_, config_.membership_address, seed)
 {
     install_handlers();
+    install_peer_handlers();
 }
 
 daemon_process::~daemon_process()
@@ -66,11 +72,44 @@
     { return callers_.is_held(key); };
 }
 
+void daemon_process::install_peer_handlers()
+{
+    if (config_.peer_key_file.empty())
+    {
+        return;
+    }
+    loop_.handlers.call_peer = [this](peer_call const &call)
+    { peer_client_.call(call); };
+    loop_.handlers.fetch_configuration =
+        [this](configuration_fetch const &fetch) { peer_client_.fetch(fetch); };
+}
+
 absl::Status daemon_process::load_keys()
 {
-    return config_.request_key_file.empty()
-               ? absl::OkStatus()
-               : request_keys_.load(config_.request_key_file);
+    auto const load = [](signing_keys &keys, std::string const &file)
+    { return file.empty() ? absl::OkStatus() : keys.load(file); };
+    auto status = load(request_keys_, config_.request_key_file);
+    status.Update(load(peer_keys_, config_.peer_key_file));
+    return status;
+}
+
+absl::Status daemon_process::start_peers()
+{
+    membership_.start();
+    for (auto const &peer : config_.peers)
+    {
+        add_peer(state_, peer.name, peer.address, peer.data_centre);
+    }
+    if (config_.peer_key_file.empty())
+    {
+        return absl::OkStatus();
+    }
+    auto listening = peer_listener_.start(config_.peer_address);
+    if (listening.ok())
+    {
+        state_.identity.address = peer_listener_.address();
+    }
+    return listening;
 }
 
 absl::Status daemon_process::start()
@@ -80,10 +119,9 @@
     {
         return keys;
     }
-    auto initial = config_.initial;
-    initial.revision = std::max(initial.revision, revision_number(1));
-    put_in_force(state_, initial);
+    use_initial_configuration(state_, config_.initial);
     auto listening = callers_.start(config_.caller_address, config_.caller_tls);
+    listening.Update(start_peers());
     if (listening.ok())
     {
         loop_.input();
@@ -120,7 +158,7 @@
 void daemon_process::check_stopped()
 {
     if (state_.requests.size() == 0 && callers_.open_exchanges() == 0 &&
-        on_stopped)
+        leases_released(state_) && on_stopped)
     {
         std::exchange(on_stopped, {})();
     }
--- /dev/null
+++ b/src/peer_rpc_server.hpp
@@ -0,0 +1,79 @@
+#ifndef AGATELEDGE_PEER_RPC_SERVER_HPP
+#define AGATELEDGE_PEER_RPC_SERVER_HPP
+
+#include "peer_envelope.hpp"
+#include "replay_window.hpp"
+
+#include <jsonrpccpp/server/abstractserver.h>
+#include <jsonrpccpp/server/abstractserverconnector.h>
+
+#include <map>
+#include <string>
+
+namespace agateledge
+{
+
+class daemon_loop;
+class signing_keys;
+struct world;
+
+/// Connector that is given the text of each request and keeps the text of the
+/// response; the library's own connectors start threads.
+class text_connector : public jsonrpc::AbstractServerConnector
+{
+public:
+    bool StartListening() override { return true; }
+    bool StopListening() override { return true; }
+    bool SendResponse(std::string const &text, void *target) override
+    {
+        *static_cast<std::string *>(target) = text;
+        return true;
+    }
+};
+
+/// Answers the JSON-RPC calls of other daemons. A call is believed only when
+/// its signature is valid and its counter is new.
+class peer_rpc_server : private text_connector,
+                        public jsonrpc::AbstractServer<peer_rpc_server>
+{
+public:
+    /// @param state this daemon
+    /// @param loop takes the heartbeats
+    /// @param keys keys of the calls between daemons
+    peer_rpc_server(world &state, daemon_loop &loop, signing_keys const &keys);
+
+    /// @param request JSON-RPC request, or a batch of them
+    /// @return the response; empty for a request that is not JSON
+    std::string respond(std::string const &request);
+
+    /// Most bytes of a request.
+    static constexpr std::size_t max_request_bytes = std::size_t{1} << 20;
+
+    /// Error code of a call whose signature or counter is not valid.
+    static constexpr int unauthenticated_error = -32001;
+    /// Error code of a call to an earlier incarnation of this daemon.
+    static constexpr int other_incarnation_error = -32002;
+
+private:
+    struct sender_state
+    {
+        incarnation_number incarnation;
+        replay_window window;
+    };
+
+    void heartbeat(Json::Value const &in, Json::Value &out);
+    void fetch_configuration(Json::Value const &in, Json::Value &out);
+    peer_envelope authenticate(std::string const &method,
+                               Json::Value const &in);
+    bool is_new(peer_envelope const &call);
+    Json::Value reply_to(peer_envelope const &call, std::string body) const;
+
+    world &state_;
+    daemon_loop &loop_;
+    signing_keys const &keys_;
+    std::map<std::string, sender_state> senders_;
+};
+
+} // namespace agateledge
+
+#endif
--- a/src/run_command_line.cpp
+++ b/src/run_command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "command_options.hpp"
 #include "run_check.hpp"
+#include "run_dev.hpp"
 #include "run_serve.hpp"
 
 #include <algorithm>
@@ -25,8 +26,10 @@
 };
 
 constexpr std::array subcommands{
-    subcommand{"check", "checks a settings file", run_check},
     subcommand{"serve", "runs one entry daemon", run_serve},
+    subcommand{"dev", "runs daemons, stand-ins and a load in one process",
+               run_dev},
+    subcommand{"check", "checks a settings file", run_check},
 };
 
 void print_usage(std::ostream &out)
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -6,6 +6,7 @@
 #include "candidate_index.hpp"
 #include "claim_table.hpp"
 #include "configuration.hpp"
+#include "configuration_state.hpp"
 #include "cost_table.hpp"
 #include "counters.hpp"
 #include "daemon_identity.hpp"
@@ -52,6 +53,9 @@
     std::optional<instant> next_wake;
     /// Revision in force.
     configuration config;
+    /// Written as the first revision when the table service has none.
+    std::optional<configuration> initial_config;
+    configuration_state config_sync;
     engine_table engines;
     candidate_index candidates;
     endpoint_table endpoints;
