Spread outgoing calls over sessions of at most 32 calls

Cause: libsoup walks through all open calls of a session at each step of each call, so that opening 2,000 streams took longer and longer. Change: http_client keeps sessions per address with at most 32 open calls each.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -9,10 +9,8 @@
 namespace
 {
 
-/// Connections to all hosts and to one host. An engine stream holds its
-/// connection for the whole answer.
-constexpr int max_connections = 8192;
-constexpr int max_connections_per_host = 1024;
+/// Calls that are open on one session at the same time; see `pooled_session`.
+constexpr std::size_t max_calls_per_session = 32;
 /// Time after which a silent connection counts as broken.
 constexpr guint io_timeout_seconds = 120;
 constexpr guint idle_timeout_seconds = 30;
@@ -20,9 +18,10 @@
 SoupSession *make_session()
 {
     auto *session = soup_session_new_with_options(
-        "max-conns", max_connections, "max-conns-per-host",
-        max_connections_per_host, "timeout", io_timeout_seconds, "idle-timeout",
-        idle_timeout_seconds, nullptr);
+        "max-conns", static_cast<int>(max_calls_per_session),
+        "max-conns-per-host", static_cast<int>(max_calls_per_session),
+        "timeout", io_timeout_seconds, "idle-timeout", idle_timeout_seconds,
+        nullptr);
     soup_session_set_proxy_resolver(session, nullptr);
     soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
     soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
@@ -56,13 +55,46 @@
 
 } // namespace
 
-http_client::http_client() : session_(make_session()) {}
+http_client::http_client() = default;
 
 http_client::~http_client()
 {
-    std::ranges::for_each(open_, [](std::shared_ptr<http_call> const &call)
-                          { call->cancel(); });
-    soup_session_abort(session_.get());
+    for (auto const &[call, session] : open_)
+    {
+        call->cancel();
+    }
+    for (auto const &[address, sessions] : sessions_)
+    {
+        std::ranges::for_each(sessions,
+                              [](std::shared_ptr<pooled_session> const &item)
+                              { soup_session_abort(item->session.get()); });
+    }
+}
+
+std::shared_ptr<http_client::pooled_session> const &
+http_client::session_for(std::string const &address)
+{
+    auto &sessions = sessions_[address];
+    auto const free = std::ranges::find_if(
+        sessions, [](std::shared_ptr<pooled_session> const &item)
+        { return item->open < max_calls_per_session; });
+    if (free != sessions.end())
+    {
+        return *free;
+    }
+    auto made = std::make_shared<pooled_session>();
+    made->session.reset(make_session());
+    return sessions.emplace_back(std::move(made));
+}
+
+void http_client::release(std::shared_ptr<http_call> const &call)
+{
+    auto const found = open_.find(call);
+    if (found != open_.end())
+    {
+        --found->second->open;
+        open_.erase(found);
+    }
 }
 
 std::shared_ptr<http_call> http_client::open(http_request const &request,
@@ -72,7 +104,7 @@
     auto on_end = std::move(handlers.on_end);
     handlers.on_end = [this, self, on_end](http_outcome outcome)
     {
-        open_.erase(self->lock());
+        release(self->lock());
         if (on_end)
         {
             on_end(outcome);
@@ -80,15 +112,17 @@
     };
     auto call = std::make_shared<http_call>(std::move(handlers));
     *self = call;
-    open_.insert(call);
-    call->start(session_.get(), request);
+    auto const &session = session_for(request.address);
+    ++session->open;
+    open_.emplace(call, session);
+    call->start(session->session.get(), request);
     return call;
 }
 
 void http_client::cancel(std::shared_ptr<http_call> const &call)
 {
     call->cancel();
-    open_.erase(call);
+    release(call);
 }
 
 void http_client::send(http_request const &request,
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -10,7 +10,8 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
+#include <vector>
 
 namespace agateledge
 {
@@ -49,8 +50,24 @@
     static constexpr std::size_t max_reply_bytes = std::size_t{16} << 20;
 
 private:
-    gobject_ptr<SoupSession> session_;
-    std::unordered_set<std::shared_ptr<http_call>> open_;
+    /// libsoup walks through all open calls of a session at each step of each
+    /// call, so that a session is given a few calls only.
+    struct pooled_session
+    {
+        gobject_ptr<SoupSession> session;
+        std::size_t open = 0;
+    };
+
+    std::shared_ptr<pooled_session> const &
+    session_for(std::string const &address);
+    void release(std::shared_ptr<http_call> const &call);
+
+    std::unordered_map<std::string,
+                       std::vector<std::shared_ptr<pooled_session>>>
+        sessions_;
+    std::unordered_map<std::shared_ptr<http_call>,
+                       std::shared_ptr<pooled_session>>
+        open_;
 };
 
 } // namespace agateledge
