Store and read the configuration in sections

Change: a revision's row is an index of section digests; a change writes the sections that are new; a daemon that is behind reads the index and the sections that it lacks, and asks a peer for the whole only while the table service does not answer. Conclusion: the bytes of a change follow what it touches.

--- a/src/apply_configuration.cpp
+++ b/src/apply_configuration.cpp
@@ -5,9 +5,11 @@
 #include "configuration_head.hpp"
 #include "configuration_json.hpp"
 #include "rendezvous_rank.hpp"
+#include "store_configuration.hpp"
 #include "world.hpp"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace agateledge
@@ -53,16 +55,12 @@
 {
     auto first = *w.initial_config;
     first.revision = std::max(first.revision, revision_number(1));
-    configuration_head head;
-    head.revision = first.revision;
-    head.author = first.author;
-    head.attempt = w.identity.name + ":first";
+    section_documents documents;
+    auto const index = split_configuration(first, documents);
     table_call call;
     call.conditions.push_back({configuration_head_key, 0});
-    call.puts.push_back(
-        {configuration_head_key, configuration_head_to_text(head)});
-    call.puts.push_back(
-        {revision_key(first.revision), configuration_to_json(first)});
+    store_configuration(call, w.config_sync, index, documents,
+                        w.identity.name + ":first");
     send(w, configuration_step::writing_first, std::move(call));
 }
 
@@ -89,21 +87,72 @@
     }
 }
 
-void take_document(world &w, table_row const &row)
+void report_damage(world &w, std::string const &key, absl::Status const &status)
 {
-    auto const config = configuration_from_json(row.value);
+    w.out.log_entries.push_back(
+        {log_level::error,
+         "configuration_damaged",
+         {{"key", key}, {"reason", status.ToString()}}});
+}
+
+/// Puts the pending revision together and forgets sections that it lacks.
+void assemble(world &w)
+{
+    auto &sync = w.config_sync;
+    auto const config = join_configuration(sync.pending, sync.documents);
     if (!config.ok())
     {
-        w.out.log_entries.push_back(
-            {log_level::error,
-             "configuration_damaged",
-             {{"key", row.key}, {"reason", config.status().ToString()}}});
+        report_damage(w, revision_key(sync.pending.revision), config.status());
         return;
     }
+    section_documents used;
+    for (auto const &[name, digest] : sync.pending.sections)
+    {
+        used.emplace(digest, sync.documents.at(digest));
+    }
+    sync.documents = std::move(used);
+    sync.stored = std::move(sync.pending);
     if (put_in_force(w, *config))
     {
-        confirm_revision(w, w.config_sync.head_read_at);
+        confirm_revision(w, sync.head_read_at);
+    }
+}
+
+void take_index(world &w, table_row const &row)
+{
+    auto &sync = w.config_sync;
+    auto index = configuration_index_from_json(row.value);
+    if (!index.ok())
+    {
+        report_damage(w, row.key, index.status());
+        return;
+    }
+    sync.pending = *std::move(index);
+    table_call call;
+    for (auto const &[name, digest] : sync.pending.sections)
+    {
+        if (!sync.documents.contains(digest))
+        {
+            call.keys.push_back(section_key(digest));
+        }
+    }
+    if (call.keys.empty())
+    {
+        assemble(w);
+        return;
+    }
+    send(w, configuration_step::reading_sections, std::move(call));
+}
+
+void take_sections(world &w, std::vector<table_row> const &rows)
+{
+    for (auto const &row : rows)
+    {
+        auto const digest = section_digest(row.value);
+        w.config_sync.documents.insert_or_assign(
+            digest, std::make_shared<std::string const>(row.value));
     }
+    assemble(w);
 }
 
 void back_off(world &w)
@@ -140,7 +189,11 @@
     }
     if (step == configuration_step::reading_document)
     {
-        take_document(w, reply.rows.at(0));
+        take_index(w, reply.rows.at(0));
+    }
+    if (step == configuration_step::reading_sections)
+    {
+        take_sections(w, reply.rows);
     }
 }
 
@@ -166,6 +219,16 @@
     }
     w.config_sync.next_fetch = w.now + fetch_interval;
     w.config_sync.fetch_sent_at = w.now;
+    if (w.config_sync.failures == 0)
+    {
+        // A revision is kilobytes from the table service, which has it in
+        // sections, and megabytes from a peer.
+        if (w.config_sync.step == configuration_step::idle)
+        {
+            read_head(w);
+        }
+        return;
+    }
     w.out.configuration_fetches.push_back({message.from, message.address});
 }
 
--- a/src/configuration_head.cpp
+++ b/src/configuration_head.cpp
@@ -10,6 +10,11 @@
     return "config/revision/" + std::to_string(revision.value());
 }
 
+std::string section_key(std::string const &digest)
+{
+    return "config/section/" + digest;
+}
+
 std::string configuration_head_to_text(configuration_head const &head)
 {
     Json::Value out;
--- a/src/configuration_head.hpp
+++ b/src/configuration_head.hpp
@@ -10,8 +10,9 @@
 {
 
 /// Document of the row `config/current`: which revision is current. The
-/// revision's document is in `config/revision/<n>`, which is written in the
-/// same transaction, so that a poll stays small.
+/// revision's index is in `config/revision/<n>`, its sections in
+/// `config/section/<digest>`. All are written in the same transaction; a poll
+/// reads this row only, so that it stays small.
 struct configuration_head
 {
     revision_number revision;
@@ -25,9 +26,12 @@
 /// Key of the row that names the current revision.
 inline constexpr char const *configuration_head_key = "config/current";
 
-/// @return the key of the row that holds the document of a revision
+/// @return the key of the row that holds the index of a revision
 std::string revision_key(revision_number revision);
 
+/// @return the key of the row that holds a section; it never changes
+std::string section_key(std::string const &digest);
+
 /// @return the JSON document of the row
 std::string configuration_head_to_text(configuration_head const &head);
 
--- a/src/configuration_state.hpp
+++ b/src/configuration_state.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_CONFIGURATION_STATE_HPP
 
 #include "configuration.hpp"
+#include "configuration_sections.hpp"
 #include "ids.hpp"
 #include "time.hpp"
 
@@ -17,7 +18,10 @@
 {
     idle,
     reading_head,
+    /// Reads the index of a revision.
     reading_document,
+    /// Reads the sections of that revision that are not known.
+    reading_sections,
     writing_first,
 };
 
@@ -34,6 +38,9 @@
 {
     operator_call_number call;
     configuration next;
+    /// `next` as it is written: its index and its sections.
+    configuration_index index;
+    section_documents documents;
     /// Identifies the write, so that its writer recognises it when reading.
     std::string attempt;
     proposal_step step = proposal_step::reading_head;
@@ -60,6 +67,13 @@
     /// Earliest time of the next fetch from a peer.
     instant next_fetch{};
     instant fetch_sent_at{};
+    /// Last index that was read from or written to the table service, whose
+    /// rows have its sections.
+    configuration_index stored;
+    /// Sections that are known, by digest.
+    section_documents documents;
+    /// Index whose sections are being read.
+    configuration_index pending;
     std::map<operation_number, configuration_proposal> proposals;
 };
 
--- a/src/propose_configuration.cpp
+++ b/src/propose_configuration.cpp
@@ -3,8 +3,8 @@
 #include "apply_configuration.hpp"
 #include "call_table.hpp"
 #include "configuration_head.hpp"
-#include "configuration_json.hpp"
 #include "json_text.hpp"
+#include "store_configuration.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -60,28 +60,24 @@
          std::move(call));
 }
 
-std::string document_text(configuration_proposal const &proposal)
-{
-    auto document = *json_from_text(configuration_to_json(proposal.next));
-    document["attempt"] = proposal.attempt;
-    return json_to_text(document);
-}
-
 void send_write(world &w, configuration_proposal proposal)
 {
     auto const &next = proposal.next;
     table_call call;
     call.conditions.push_back({configuration_head_key, proposal.head_version});
     call.conditions.push_back({revision_key(next.revision), 0});
-    call.puts.push_back({configuration_head_key,
-                         configuration_head_to_text(
-                             {next.revision, next.author, proposal.attempt})});
-    call.puts.push_back({revision_key(next.revision), document_text(proposal)});
+    store_configuration(call, w.config_sync, proposal.index, proposal.documents,
+                        proposal.attempt);
     send(w, std::move(proposal), proposal_step::writing, std::move(call));
 }
 
 void accept(world &w, configuration_proposal const &proposal)
 {
+    if (proposal.index.revision > w.config_sync.stored.revision)
+    {
+        w.config_sync.stored = proposal.index;
+        w.config_sync.documents = proposal.documents;
+    }
     if (put_in_force(w, proposal.next))
     {
         confirm_revision(w, proposal.sent_at);
@@ -242,7 +238,10 @@
     next.revision = revision_number(next.revision.value() + 1);
     configuration_proposal proposal;
     proposal.call = call;
-    proposal.next = std::move(next);
+    proposal.index = split_configuration(next, proposal.documents);
+    // In the order in which every other daemon puts the sections together.
+    proposal.next =
+        join_configuration(proposal.index, proposal.documents).value();
     proposal.attempt = w.identity.name + ":" +
                        std::to_string(w.identity.incarnation.value()) +
                        ":config:" + std::to_string(w.last_operation + 1);
