--- a/src/daemon_process.hpp
+++ b/src/daemon_process.hpp
@@ -4,6 +4,7 @@
 #include "caller_listener.hpp"
 #include "daemon_loop.hpp"
 #include "engine_client.hpp"
+#include "engine_poller.hpp"
 #include "http_client.hpp"
 #include "ids.hpp"
 #include "membership_client.hpp"
@@ -75,6 +76,7 @@
     signing_keys request_keys_;
     caller_listener callers_;
     engine_client engines_;
+    engine_poller poller_;
     service_client services_;
     table_client table_;
     signing_keys peer_keys_;
--- /dev/null
+++ b/src/engine_poller.cpp
@@ -0,0 +1,178 @@
+#include "engine_poller.hpp"
+
+#include "daemon_loop.hpp"
+#include "engine_protocol.hpp"
+#include "http_client.hpp"
+#include "world.hpp"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Shortest interval per engine.
+constexpr duration poll_interval = milliseconds(400);
+/// Engines with open work are polled this many times as often as idle ones.
+constexpr int open_work_weight = 8;
+/// Time between two looks at the budget.
+constexpr duration spacing = milliseconds(25);
+/// Share of the 8 KB/s that a daemon may spend on control.
+constexpr double bytes_per_second = 3000;
+constexpr double burst_bytes = 16000;
+/// Request line and headers of a poll and of its answer.
+constexpr std::size_t header_bytes = 330;
+/// Polls of an engine for one poll of its cache events.
+constexpr int polls_per_cache_poll = 4;
+constexpr duration poll_timeout = seconds(1);
+constexpr int http_ok = 200;
+
+bool is_good(http_reply const &reply)
+{
+    return reply.outcome == http_outcome::answered && reply.status == http_ok;
+}
+
+http_request make_get(std::string const &address, std::string path)
+{
+    http_request request;
+    request.address = address;
+    request.path = std::move(path);
+    request.total_timeout = poll_timeout;
+    return request;
+}
+
+} // namespace
+
+engine_poller::engine_poller(world const &state, http_client &http,
+                             daemon_loop &loop)
+    : state_(state), http_(http), loop_(loop),
+      bytes_(bytes_per_second, burst_bytes)
+{
+}
+
+engine_poller::~engine_poller()
+{
+    if (timer_ != 0)
+    {
+        g_source_remove(timer_);
+    }
+}
+
+void engine_poller::start()
+{
+    schedule();
+}
+
+void engine_poller::schedule()
+{
+    timer_ = g_timeout_add(
+        static_cast<guint>(
+            std::chrono::duration_cast<milliseconds>(spacing).count()),
+        [](gpointer self) -> gboolean
+        {
+            auto *poller = static_cast<engine_poller *>(self);
+            poller->poll_next();
+            poller->schedule();
+            return G_SOURCE_REMOVE;
+        },
+        this);
+}
+
+void engine_poller::poll_next()
+{
+    if (bytes_.available(daemon_loop::clock_now()) <= 0)
+    {
+        return;
+    }
+    if (auto const *engine = choose())
+    {
+        poll_load(*engine);
+    }
+}
+
+engine_definition const *engine_poller::choose()
+{
+    auto const now = daemon_loop::clock_now();
+    engine_definition const *chosen = nullptr;
+    duration longest = poll_interval;
+    for (auto const &engine : state_.engines.all())
+    {
+        auto const &cursor = cursors_[engine.definition.name];
+        if (!engine.configured || engine.definition.withdrawn || cursor.polling)
+        {
+            continue;
+        }
+        auto const age = now - cursor.polled_at;
+        auto const due = engine.own_requests > 0 ? age * open_work_weight : age;
+        if (age >= poll_interval && due >= longest)
+        {
+            longest = due;
+            chosen = &engine.definition;
+        }
+    }
+    return chosen;
+}
+
+void engine_poller::charge(std::size_t reply_bytes)
+{
+    bytes_.force(daemon_loop::clock_now(),
+                 static_cast<double>(header_bytes + reply_bytes));
+}
+
+void engine_poller::poll_load(engine_definition const &engine)
+{
+    auto &started = cursors_[engine.name];
+    started.polling = true;
+    started.polled_at = daemon_loop::clock_now();
+    ++started.polls;
+    http_.send(make_get(engine.address, "/v1/load"),
+               [this, name = engine.name,
+                address = engine.address](http_reply const &reply)
+               {
+                   auto &cursor = cursors_[name];
+                   cursor.polling = false;
+                   charge(reply.body.size());
+                   auto report = load_report_from_text(name, reply.body);
+                   if (!is_good(reply) || !report.ok())
+                   {
+                       return;
+                   }
+                   if (report->generation < cursor.generation)
+                   {
+                       cursor.last_cache_event = 0;
+                   }
+                   cursor.generation = report->generation;
+                   loop_.input().load_reports.push_back(*std::move(report));
+                   if (cursor.polls % polls_per_cache_poll == 0)
+                   {
+                       poll_cache(name, address);
+                   }
+               });
+}
+
+void engine_poller::poll_cache(std::string const &name,
+                               std::string const &address)
+{
+    auto const after = cursors_[name].last_cache_event;
+    http_.send(
+        make_get(address, "/v1/cache_events?after=" + std::to_string(after)),
+        [this, name](http_reply const &reply)
+        {
+            charge(reply.body.size());
+            auto events = cache_events_from_text(name, reply.body);
+            if (!is_good(reply) || !events.ok() || events->empty())
+            {
+                return;
+            }
+            cursors_[name].last_cache_event = events->back().sequence;
+            auto &input = loop_.input().cache_events;
+            std::ranges::move(*events, std::back_inserter(input));
+        });
+}
+
+} // namespace agateledge
