Complete claims, retries, hedges and the graceful stop

Cause: claims did not survive lost answers of the table service, outcomes were written once, and lost streams were always generated again. Change: a claim is a state machine of its own that outlives its request; streams are attached to again before they are continued elsewhere; repeated work is paid for out of a budget; slow idempotent calls are hedged; a stopping daemon finishes or hands over its streams.

--- a/src/attempt_table.hpp
+++ b/src/attempt_table.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_ATTEMPT_TABLE_HPP
 #define AGATELEDGE_ATTEMPT_TABLE_HPP
 
+#include "due_queue.hpp"
 #include "ids.hpp"
 #include "time.hpp"
 
@@ -27,6 +28,8 @@
     /// Prefill work counted on the engine until the first token.
     int counted_prefill_tokens = 0;
     bool prefill_only = false;
+    /// True when the attempt attached to a stream that was already running.
+    bool attached = false;
 };
 
 /// Open attempts by number.
@@ -49,6 +52,9 @@
         return states_;
     }
 
+    /// Attempts on engines by the time at which their progress is checked.
+    due_queue<attempt_number> checks;
+
 private:
     std::unordered_map<attempt_number, attempt_state> states_;
     std::uint64_t last_number_ = 0;
--- a/src/claim_calls.cpp
+++ b/src/claim_calls.cpp
@@ -5,11 +5,9 @@
 #include "request_lifecycle.hpp"
 #include "world.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <array>
-#include <cstdio>
+#include <charconv>
+#include <utility>
 
 namespace agateledge
 {
@@ -17,205 +15,518 @@
 namespace
 {
 
-std::string hex(std::uint64_t value)
+constexpr char const *outcome_method = "OUTCOME";
+
+/// Time that a caller of a class without a finish deadline waits.
+constexpr duration default_deadline = seconds(10);
+
+/// Bounds of the time between two tries of the same step.
+constexpr duration shortest_backoff = milliseconds(25);
+constexpr duration longest_backoff = seconds(2);
+
+/// Inserts that the table service may turn away before the call is refused; the
+/// last one is about 175 ms after the first.
+constexpr int insert_tries = 4;
+
+duration backoff(world &w, int failures)
 {
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx",
-                  static_cast<unsigned long long>(value));
-    return text.data();
+    constexpr int most_doublings = 7;
+    auto const doubled =
+        shortest_backoff * (1 << std::min(failures, most_doublings));
+    auto const jitter = 0.5 + w.random.uniform() / 2;
+    return from_seconds(to_seconds(std::min(doubled, longest_backoff)) *
+                        jitter);
 }
 
-std::string hash_of(std::string const &text)
+std::string attempt_id_of(world const &w, request_number request)
 {
-    auto const hash = XXH3_128bits(text.data(), text.size());
-    return hex(hash.high64) + hex(hash.low64);
+    return w.identity.name + ":" +
+           std::to_string(w.identity.incarnation.value()) + ":" +
+           std::to_string(request.value());
 }
 
-std::string claim_key(request_state const &request)
+/// @return true when the daemon that wrote `attempt` is known to have ended
+bool holder_is_dead(world const &w, std::string const &attempt)
 {
-    auto const &arrival = request.arrival;
-    return "claim/" + arrival.service + "/" + arrival.caller + "/" +
-           hash_of(arrival.idempotency_key);
+    auto const last = attempt.rfind(':');
+    auto const middle = last == std::string::npos || last == 0
+                            ? std::string::npos
+                            : attempt.rfind(':', last - 1);
+    if (middle == std::string::npos)
+    {
+        return false;
+    }
+    std::uint64_t incarnation = 0;
+    std::from_chars(attempt.data() + middle + 1, attempt.data() + last,
+                    incarnation);
+    return attempt.substr(0, middle) == w.identity.name &&
+           incarnation < w.identity.incarnation.value();
 }
 
-std::string fingerprint_of(request_arrival const &arrival)
+table_call call_of(claim_state const &claim)
 {
-    auto const body = arrival.body ? *arrival.body : std::string();
-    return hash_of(arrival.method + "\n" + arrival.path + "\n" + body);
+    table_call call;
+    auto const write = [&](claim_row const &row)
+    {
+        call.conditions.push_back({claim.key, claim.row_version});
+        call.puts.push_back({claim.key, claim_row_to_text(row)});
+    };
+    switch (claim.step)
+    {
+    case claim_step::inserting:
+        write(claim.row);
+        break;
+    case claim_step::marking:
+        write(claim.marked);
+        break;
+    case claim_step::recording:
+        write(*claim.outcome);
+        break;
+    case claim_step::reading:
+    case claim_step::waiting:
+    case claim_step::querying:
+    case claim_step::held:
+        call.keys.push_back(claim.key);
+        break;
+    }
+    return call;
 }
 
-std::string attempt_id_of(world const &w, request_state const &request)
+/// Sends the operation of the claim's step.
+void issue(world &w, claim_state &claim, claim_step step)
 {
-    return w.identity.name + ":" +
-           std::to_string(w.identity.incarnation.value()) + ":" +
-           std::to_string(request.arrival.request.value());
+    claim.step = step;
+    w.claims.wait_for(claim, call_table(w, table_owner::claim, call_of(claim)));
 }
 
-Json::Value claim_document(world const &w, request_state const &request)
+/// Sends the operation of the claim's step after a delay that grows with each
+/// failure.
+void issue_later(world &w, claim_state &claim)
 {
-    Json::Value row;
-    row["attempt"] = attempt_id_of(w, request);
-    row["fingerprint"] = fingerprint_of(request.arrival);
-    row["state"] = "claimed";
-    return row;
+    auto const delay = backoff(w, claim.failures++);
+    w.claims.due.add(w.now + delay, claim.request);
 }
 
-void write_outcome(world &w, request_state const &request,
-                   Json::Value const &row)
+/// Ends the claim's request; the claim is settled with it.
+void refuse(world &w, claim_state &claim, result_code code, char const *message)
 {
-    table_call call;
-    call.conditions.push_back({claim_key(request), request.claim_row_version});
-    call.puts.push_back({claim_key(request), json_to_text(row)});
-    call_table(w, table_owner::claim, std::move(call));
+    refuse_request(w, claim.request, code, message);
 }
 
-void answer_from_row(world &w, request_state &request, Json::Value const &row)
+void answer(world &w, claim_state &claim, int http_status, std::string text)
 {
-    auto const number = request.arrival.request;
-    if (row["fingerprint"].asString() != fingerprint_of(request.arrival))
+    auto const number = claim.request;
+    caller_reply reply;
+    reply.request = number;
+    reply.kind = caller_reply_kind::finished;
+    reply.http_status = http_status;
+    reply.text = std::move(text);
+    w.out.caller_replies.push_back(std::move(reply));
+    w.claims.erase(number);
+    finish_request(w, number);
+}
+
+void answer_query(world &w, claim_state &claim,
+                  std::optional<claim_row> const &row)
+{
+    if (!row)
     {
-        refuse_request(w, number, result_code::idempotency_key_reused,
-                       "the key was used with another body");
+        refuse(w, claim, result_code::unknown_request,
+               "no call with this key has been recorded");
         return;
     }
-    auto const state = row["state"].asString();
-    if (state != "done")
+    Json::Value document;
+    switch (row->state)
+    {
+    case claim_row_state::claimed:
+        document["outcome"] =
+            holder_is_dead(w, row->attempt) ? "unknown" : "in_progress";
+        break;
+    case claim_row_state::done:
+        document["outcome"] = "done";
+        document["status"] = row->http_status;
+        document["body"] = row->body;
+        break;
+    case claim_row_state::unknown:
+        document["outcome"] = "unknown";
+        break;
+    case claim_row_state::not_run:
+        document["outcome"] = "not_run";
+        break;
+    }
+    constexpr int http_ok = 200;
+    answer(w, claim, http_ok, json_to_text(document));
+}
+
+void take_claim(world &w, claim_state &claim, std::uint64_t version)
+{
+    claim.row_version = version;
+    claim.maybe_written = false;
+    claim.failures = 0;
+    if (claim.outcome)
     {
-        bool const running = state == "claimed";
-        refuse_request(w, number,
-                       running ? result_code::in_progress
-                               : result_code::outcome_unknown,
-                       "a call with this key has no known outcome");
+        issue(w, claim, claim_step::recording);
         return;
     }
-    caller_reply reply;
-    reply.request = number;
-    reply.kind = caller_reply_kind::finished;
-    reply.http_status = row["status"].asInt();
-    reply.text = row["body"].asString();
-    w.out.caller_replies.push_back(std::move(reply));
-    finish_request(w, number);
+    claim.step = claim_step::held;
+    requeue_request(w, *w.requests.find(claim.request));
 }
 
-void read_claim(world &w, claim_state claim)
+/// Goes on after the row was seen while an outcome is to be stored.
+void settle_seen(world &w, claim_state &claim, table_row const &seen,
+                 std::optional<claim_row> const &row)
 {
-    claim.step = claim_step::reading;
-    table_call call;
-    call.keys.push_back(claim.key);
-    w.claims.add(call_table(w, table_owner::claim, std::move(call)), claim);
+    bool const ours = row && row->attempt == claim.row.attempt;
+    bool const absent =
+        seen.version == 0 && (claim.maybe_written ||
+                              claim.outcome->state != claim_row_state::not_run);
+    bool const replaceable = claim.maybe_written && row &&
+                             row->state == claim_row_state::not_run &&
+                             seen.version == claim.row_version;
+    if ((ours && row->state == claim.outcome->state) ||
+        (!ours && !absent && !replaceable))
+    {
+        w.claims.erase(claim.request);
+        return;
+    }
+    claim.row_version = seen.version;
+    issue(w, claim, claim_step::recording);
+}
+
+void wait_for_holder(world &w, claim_state &claim, table_row const &seen,
+                     claim_row const &row)
+{
+    if (!holder_is_dead(w, row.attempt))
+    {
+        claim.step = claim_step::waiting;
+        issue_later(w, claim);
+        return;
+    }
+    claim.marked = row;
+    claim.marked.state = claim_row_state::unknown;
+    claim.row_version = seen.version;
+    issue(w, claim, claim_step::marking);
 }
 
-void take_claim(world &w, request_state &request, table_row const &row)
+/// Goes on after the row of another call was seen.
+void see_other(world &w, claim_state &claim, table_row const &seen,
+               std::optional<claim_row> const &row)
 {
-    request.claim_row_version = row.version;
-    requeue_request(w, request);
+    if (!row)
+    {
+        refuse(w, claim, result_code::outcome_unknown,
+               "the recorded outcome cannot be read");
+        return;
+    }
+    if (row->fingerprint != claim.row.fingerprint)
+    {
+        refuse(w, claim, result_code::idempotency_key_reused,
+               "the key was used with another body");
+        return;
+    }
+    switch (row->state)
+    {
+    case claim_row_state::done:
+        answer(w, claim, row->http_status, row->body);
+        return;
+    case claim_row_state::unknown:
+        refuse(w, claim, result_code::outcome_unknown,
+               "the outcome of the call with this key is not known");
+        return;
+    case claim_row_state::claimed:
+    case claim_row_state::not_run:
+        wait_for_holder(w, claim, seen, *row);
+        return;
+    }
 }
 
-void resolve_read(world &w, claim_state const &claim, request_state &request,
-                  table_reply const &reply)
+/// Goes on after the claim's row was read, or returned by a conflict.
+void see_row(world &w, claim_state &claim, table_row const &seen)
 {
-    if (reply.outcome != table_outcome::committed)
+    auto const row =
+        seen.version == 0 ? std::nullopt : claim_row_from_text(seen.value);
+    if (claim.outcome)
     {
-        refuse_request(w, request.arrival.request,
-                       result_code::store_unavailable,
-                       "the table service does not answer");
+        settle_seen(w, claim, seen, row);
         return;
     }
-    if (reply.rows.empty() || reply.rows.front().version == 0)
+    if (claim.step == claim_step::querying)
     {
-        begin_claim(w, request);
+        answer_query(w, claim, row);
         return;
     }
-    auto const row = json_from_text(reply.rows.front().value);
-    if (row.ok() && (*row)["attempt"].asString() == claim.attempt_id)
+    if (row && row->attempt == claim.row.attempt)
     {
-        take_claim(w, request, reply.rows.front());
+        take_claim(w, claim, seen.version);
         return;
     }
-    answer_from_row(w, request, row.ok() ? *row : Json::Value());
+    // A write is conditional on the version that it replaces, so one that was
+    // lost can take effect only while the row still has that version.
+    claim.maybe_written &= seen.version == claim.row_version;
+    if (seen.version == 0 || (row && row->state == claim_row_state::not_run))
+    {
+        claim.row_version = seen.version;
+        issue(w, claim, claim_step::inserting);
+        return;
+    }
+    see_other(w, claim, seen, row);
 }
 
-void resolve_insert(world &w, claim_state const &claim, request_state &request,
-                    table_reply const &reply)
+void handle_failed_insert(world &w, claim_state &claim, table_outcome outcome)
+{
+    if (outcome == table_outcome::unknown)
+    {
+        claim.maybe_written = true;
+        issue(w, claim, claim_step::reading);
+        return;
+    }
+    if (claim.outcome && !claim.maybe_written)
+    {
+        w.claims.erase(claim.request);
+        return;
+    }
+    if (!claim.outcome && claim.failures + 1 >= insert_tries)
+    {
+        refuse(w, claim, result_code::store_unavailable,
+               "the table service does not answer");
+        return;
+    }
+    issue_later(w, claim);
+}
+
+void handle_write(world &w, claim_state &claim, table_reply const &reply)
+{
+    if (reply.outcome == table_outcome::committed)
+    {
+        take_claim(w, claim, reply.rows.front().version);
+        return;
+    }
+    if (reply.outcome == table_outcome::conflict)
+    {
+        see_row(w, claim, reply.rows.front());
+        return;
+    }
+    handle_failed_insert(w, claim, reply.outcome);
+}
+
+void handle_record(world &w, claim_state &claim, table_reply const &reply)
 {
     switch (reply.outcome)
     {
     case table_outcome::committed:
-        take_claim(w, request, reply.rows.front());
+        w.claims.erase(claim.request);
         return;
     case table_outcome::conflict:
+        see_row(w, claim, reply.rows.front());
+        return;
     case table_outcome::unknown:
-        read_claim(w, claim);
+        issue(w, claim, claim_step::reading);
         return;
     case table_outcome::unavailable:
-        refuse_request(w, request.arrival.request,
-                       result_code::store_unavailable,
-                       "the table service does not answer");
+        issue_later(w, claim);
         return;
     }
 }
 
-void resolve(world &w, table_reply const &reply)
+void handle_reply(world &w, table_reply const &reply)
 {
-    auto const claim = w.claims.take(reply.operation);
-    if (reply.owner != table_owner::claim || !claim)
+    auto *claim = reply.owner == table_owner::claim
+                      ? w.claims.take(reply.operation)
+                      : nullptr;
+    if (claim == nullptr)
+    {
+        return;
+    }
+    if (!claim->outcome && w.requests.find(claim->request) == nullptr)
     {
+        w.claims.erase(claim->request);
         return;
     }
-    auto *request = w.requests.find(claim->request);
-    if (request == nullptr)
+    switch (claim->step)
     {
+    case claim_step::inserting:
+        handle_write(w, *claim, reply);
         return;
+    case claim_step::recording:
+        handle_record(w, *claim, reply);
+        return;
+    case claim_step::marking:
+        claim->step = claim_step::waiting;
+        issue_later(w, *claim);
+        return;
+    default:
+        break;
     }
-    if (claim->step == claim_step::inserting)
+    if (reply.outcome == table_outcome::committed)
     {
-        resolve_insert(w, *claim, *request, reply);
+        see_row(w, *claim, reply.rows.front());
         return;
     }
-    resolve_read(w, *claim, *request, reply);
+    issue_later(w, *claim);
 }
 
-} // namespace
+/// Ends a claim whose caller has waited until its deadline.
+void expire(world &w, claim_state &claim)
+{
+    switch (claim.step)
+    {
+    case claim_step::waiting:
+        refuse(w, claim, result_code::in_progress,
+               "a call with this key is in progress");
+        return;
+    case claim_step::marking:
+    case claim_step::querying:
+        refuse(w, claim, result_code::outcome_unknown,
+               "the outcome of the call with this key cannot be read");
+        return;
+    default:
+        refuse(w, claim, result_code::store_unavailable,
+               "the table service does not answer");
+        return;
+    }
+}
 
-void begin_claim(world &w, request_state &request)
+void handle_due(world &w, request_number number)
+{
+    auto *claim = w.claims.find(number);
+    if (claim == nullptr || claim->step == claim_step::held)
+    {
+        return;
+    }
+    if (!claim->outcome && w.now >= claim->deadline)
+    {
+        expire(w, *claim);
+        return;
+    }
+    if (claim->operation.value() != 0)
+    {
+        return;
+    }
+    bool const stop_insert =
+        claim->outcome && claim->step == claim_step::inserting;
+    issue(w, *claim, stop_insert ? claim_step::reading : claim->step);
+}
+
+claim_state &add_claim(world &w, request_state &request)
 {
     request.phase = request_phase::claiming;
+    auto const bound = request.kind.finish_deadline;
     claim_state claim;
     claim.request = request.arrival.request;
-    claim.key = claim_key(request);
-    claim.attempt_id = attempt_id_of(w, request);
-    table_call call;
-    call.conditions.push_back({claim.key, 0});
-    call.puts.push_back({claim.key, json_to_text(claim_document(w, request))});
-    w.claims.add(call_table(w, table_owner::claim, std::move(call)), claim);
+    claim.key = claim_key_of(request.arrival);
+    claim.row.attempt = attempt_id_of(w, claim.request);
+    claim.row.fingerprint = fingerprint_of(request.arrival);
+    claim.deadline =
+        request.arrived_at + (bound.count() > 0 ? bound : default_deadline);
+    w.claims.due.add(claim.deadline, claim.request);
+    return w.claims.add(std::move(claim));
+}
+
+void settle(world &w, claim_state &claim, claim_row outcome)
+{
+    claim.outcome = std::move(outcome);
+    if (claim.step == claim_step::held)
+    {
+        issue(w, claim, claim_step::recording);
+        return;
+    }
+    bool const in_flight =
+        claim.operation.value() != 0 && (claim.step == claim_step::inserting ||
+                                         claim.step == claim_step::reading);
+    if (in_flight)
+    {
+        return;
+    }
+    if (!claim.maybe_written)
+    {
+        w.claims.erase(claim.request);
+        return;
+    }
+    if (claim.operation.value() == 0)
+    {
+        issue(w, claim, claim_step::reading);
+    }
+}
+
+} // namespace
+
+bool asks_for_outcome(request_arrival const &arrival)
+{
+    return !arrival.service.empty() && arrival.method == outcome_method;
+}
+
+void begin_claim(world &w, request_state &request)
+{
+    issue(w, add_claim(w, request), claim_step::inserting);
+}
+
+void begin_outcome_query(world &w, request_state &request)
+{
+    issue(w, add_claim(w, request), claim_step::querying);
 }
 
 bool holds_claim(world const &w, request_state const &request)
 {
-    return w.faults.skip_claim || request.claim_row_version != 0;
+    auto const *claim = w.claims.find(request.arrival.request);
+    return w.faults.skip_claim ||
+           (claim != nullptr && claim->step == claim_step::held);
 }
 
-void claim_calls(world &w)
+void mark_sent(world &w, request_number request, bool sent)
 {
-    std::ranges::for_each(w.in.table_replies, [&w](table_reply const &reply)
-                          { resolve(w, reply); });
+    auto *claim = w.claims.find(request);
+    if (claim != nullptr)
+    {
+        claim->sent = sent;
+    }
 }
 
-void record_outcome(world &w, request_state &request, int http_status,
-                    std::string const &body)
+bool may_have_run(world const &w, request_number request)
 {
-    auto row = claim_document(w, request);
-    row["state"] = "done";
-    row["status"] = http_status;
-    row["body"] = body;
-    write_outcome(w, request, row);
+    auto const *claim = w.claims.find(request);
+    return claim != nullptr && claim->sent;
+}
+
+void settle_done(world &w, request_number request, int http_status,
+                 std::string const &body)
+{
+    auto *claim = w.claims.find(request);
+    if (claim == nullptr)
+    {
+        return;
+    }
+    auto outcome = claim->row;
+    outcome.state = claim_row_state::done;
+    outcome.http_status = http_status;
+    outcome.body = body;
+    settle(w, *claim, std::move(outcome));
 }
 
-void record_unknown(world &w, request_state &request)
+void settle_unanswered(world &w, request_number request)
 {
-    auto row = claim_document(w, request);
-    row["state"] = "unknown";
-    write_outcome(w, request, row);
+    auto *claim = w.claims.find(request);
+    if (claim == nullptr)
+    {
+        return;
+    }
+    auto outcome = claim->row;
+    outcome.state =
+        claim->sent ? claim_row_state::unknown : claim_row_state::not_run;
+    settle(w, *claim, std::move(outcome));
+}
+
+void claim_calls(world &w)
+{
+    std::ranges::for_each(w.in.table_replies, [&w](table_reply const &reply)
+                          { handle_reply(w, reply); });
+    while (auto const number = w.claims.due.take(w.now))
+    {
+        handle_due(w, *number);
+    }
+    if (auto const next = w.claims.due.next())
+    {
+        wake_at(w, *next);
+    }
 }
 
 } // namespace agateledge
--- a/src/claim_table.hpp
+++ b/src/claim_table.hpp
@@ -1,7 +1,10 @@
 #ifndef AGATELEDGE_CLAIM_TABLE_HPP
 #define AGATELEDGE_CLAIM_TABLE_HPP
 
+#include "claim_row.hpp"
+#include "due_queue.hpp"
 #include "ids.hpp"
+#include "time.hpp"
 
 #include <optional>
 #include <string>
@@ -12,52 +15,75 @@
 
 enum class claim_step
 {
-    /// The claim row is being inserted.
+    /// The claim row is being written.
     inserting,
-    /// The row is read again, because the answer to the insert was lost or
-    /// another call holds the key.
+    /// The row is read again, because the answer to a write was lost.
     reading,
-    /// The claim is ours and the call runs.
-    calling,
+    /// Another call holds the key; its outcome is polled.
+    waiting,
+    /// The row of a dead holder is being marked as of unknown outcome.
+    marking,
+    /// The claim is ours; the call waits for an endpoint or runs.
+    held,
     /// The outcome is being written.
     recording,
+    /// The row is read to tell a caller the outcome.
+    querying,
 };
 
-/// Progress of one non-idempotent call.
+/// Progress of one claim. It outlives its request until the outcome is stored.
 struct claim_state
 {
     request_number request;
     claim_step step = claim_step::inserting;
     std::string key;
-    /// Identifies this claim in the row.
-    std::string attempt_id;
+    /// What this claim writes to the row; `outcome` replaces it at the end.
+    claim_row row;
+    /// Outcome to store, once it is known.
+    std::optional<claim_row> outcome;
+    /// Version of the row that the next write replaces; 0 for an absent row.
     std::uint64_t row_version = 0;
+    /// Row of the holder that is being marked.
+    claim_row marked;
+    /// Operation of the table service that is in flight; 0 for none.
+    operation_number operation;
+    /// True when a write of unknown outcome may still take effect.
+    bool maybe_written = false;
+    /// True once a byte of the call may have been sent.
+    bool sent = false;
+    /// Failures of the table service in a row.
+    int failures = 0;
+    /// Time until which the caller waits.
+    instant deadline{};
 };
 
-/// Claims in progress by table operation.
+/// Claims in progress, by request and by operation of the table service.
 class claim_table
 {
 public:
-    void add(operation_number operation, claim_state state)
-    {
-        states_.insert_or_assign(operation, std::move(state));
-    }
+    claim_state &add(claim_state state);
 
-    /// Removes and returns the claim that waits for `operation`.
-    std::optional<claim_state> take(operation_number operation)
-    {
-        auto const found = states_.find(operation);
-        if (found == states_.end())
-        {
-            return std::nullopt;
-        }
-        auto state = std::move(found->second);
-        states_.erase(found);
-        return state;
-    }
+    /// @return the claim of `request`, or null when there is none
+    claim_state *find(request_number request);
+    claim_state const *find(request_number request) const;
+
+    /// Makes `claim` wait for the reply to `operation`.
+    void wait_for(claim_state &claim, operation_number operation);
+
+    /// @return the claim that waited for `operation`, which it no longer does,
+    ///         or null when there is none
+    claim_state *take(operation_number operation);
+
+    void erase(request_number request);
+
+    std::size_t size() const { return states_.size(); }
+
+    /// Claims by the time of their next step or deadline.
+    due_queue<request_number> due;
 
 private:
-    std::unordered_map<operation_number, claim_state> states_;
+    std::unordered_map<request_number, claim_state> states_;
+    std::unordered_map<operation_number, request_number> by_operation_;
 };
 
 } // namespace agateledge
--- a/src/counters.hpp
+++ b/src/counters.hpp
@@ -17,6 +17,8 @@
     std::uint64_t outcome_unknown = 0;
     std::uint64_t failed = 0;
     std::uint64_t cancelled = 0;
+    /// Streams whose callers were told to resume at another daemon.
+    std::uint64_t handed_over = 0;
     std::uint64_t retries = 0;
     std::uint64_t events_dropped = 0;
     std::uint64_t orders_sent = 0;
--- a/src/dispatch_requests.cpp
+++ b/src/dispatch_requests.cpp
@@ -1,7 +1,9 @@
 #include "dispatch_requests.hpp"
 
 #include "claim_calls.hpp"
+#include "hedge_calls.hpp"
 #include "request_lifecycle.hpp"
+#include "retry_requests.hpp"
 #include "select_endpoint.hpp"
 #include "select_engine.hpp"
 #include "world.hpp"
@@ -15,10 +17,6 @@
 namespace
 {
 
-/// Time after which a plain service's call counts as failed, when the class
-/// has no finish deadline.
-constexpr duration default_call_timeout = seconds(10);
-
 engine_call make_call(world const &w, request_state const &request,
                       attempt_state const &attempt)
 {
@@ -31,8 +29,12 @@
     call.stream_key = attempt.stream_key;
     call.model = arrival.model;
     call.body = arrival.body;
-    call.generated_text = request.delivered_text;
-    call.generated_tokens = request.delivered_tokens;
+    call.generated_tokens = attempt.next_offset;
+    if (call.generated_tokens > 0 && !attempt.attached)
+    {
+        call.generated_text = request.delivered_text;
+    }
+    call.attach = attempt.attached;
     call.prompt_tokens = arrival.prompt_tokens;
     call.prefix_hashes = arrival.prefix_hashes;
     call.prefix_block_tokens = arrival.prefix_block_tokens;
@@ -54,10 +56,29 @@
     w.out.caller_replies.push_back(std::move(reply));
 }
 
+/// @return true when the request is sent to the engine of its running stream
+bool attach_to_engine(world &w, request_state &request)
+{
+    auto const stream = std::exchange(request.reattach, std::nullopt);
+    auto const engine = w.engines.find(stream->engine);
+    if (!engine || !w.engines.at(*engine).configured)
+    {
+        return false;
+    }
+    auto const &attempt = begin_attached_attempt(w, request, *engine, *stream);
+    announce(w, request, attempt);
+    w.out.engine_calls.push_back(make_call(w, request, attempt));
+    return true;
+}
+
 bool send_to_engine(world &w, request_state &request)
 {
+    if (request.reattach && attach_to_engine(w, request))
+    {
+        return true;
+    }
     auto const engine = select_engine(w, request);
-    if (!engine)
+    if (!engine || !may_start_attempt(w, request))
     {
         return false;
     }
@@ -74,19 +95,16 @@
     {
         return false;
     }
-    auto const &attempt = begin_service_attempt(w, request, *endpoint);
-    auto const &definition = w.endpoints.at(*endpoint).definition;
-    auto const deadline = request.kind.finish_deadline;
-    service_call call;
-    call.attempt = attempt.attempt;
-    call.endpoint = definition.name;
-    call.address = definition.address;
-    call.method = request.arrival.method;
-    call.path = request.arrival.path;
-    call.body = request.arrival.body;
-    call.idempotency_key = request.arrival.idempotency_key;
-    call.timeout = deadline.count() > 0 ? deadline : default_call_timeout;
-    w.out.service_calls.push_back(std::move(call));
+    if (!request.arrival.idempotent && !holds_claim(w, request))
+    {
+        begin_claim(w, request);
+        return true;
+    }
+    if (!may_start_attempt(w, request))
+    {
+        return false;
+    }
+    call_endpoint(w, request, *endpoint);
     return true;
 }
 
@@ -96,9 +114,9 @@
     {
         return send_to_engine(w, request);
     }
-    if (!request.arrival.idempotent && !holds_claim(w, request))
+    if (asks_for_outcome(request.arrival))
     {
-        begin_claim(w, request);
+        begin_outcome_query(w, request);
         return true;
     }
     return send_to_endpoint(w, request);
@@ -108,7 +126,7 @@
 {
     auto const deadline = request.kind.finish_deadline;
     return deadline.count() > 0 && !request.kind.may_wait &&
-           w.now - request.arrived_at > deadline;
+           !request.accepted && w.now - request.arrived_at > deadline;
 }
 
 /// @return true when the request leaves the queue
@@ -121,9 +139,11 @@
     }
     if (deadline_passed(w, *request))
     {
+        bool const not_sent =
+            request->attempts == 0 || !request->arrival.idempotent;
         refuse_request(w, number,
-                       request->attempts == 0 ? result_code::no_endpoint
-                                              : result_code::deadline_exceeded,
+                       not_sent ? result_code::no_endpoint
+                                : result_code::deadline_exceeded,
                        "nothing took the request before its deadline");
         return true;
     }
--- a/src/engine_table.hpp
+++ b/src/engine_table.hpp
@@ -36,6 +36,15 @@
     bool changing = false;
     /// True when the platform lists the engine's host as leaving.
     bool leaving = false;
+    /// Time since which the engine is to be emptied, if it is.
+    std::optional<instant> emptying_since;
+
+    /// @return true when what runs on the engine must end or move
+    bool must_empty() const
+    {
+        return !configured || definition.draining || definition.withdrawn ||
+               changing || leaving;
+    }
 
     /// @return the role that was last reported, or else the configured one
     engine_role role() const { return report ? report->role : definition.role; }
@@ -43,8 +52,7 @@
     /// @return true when new work may be sent to the engine
     bool takes_work() const
     {
-        return configured && !definition.draining && !definition.withdrawn &&
-               !changing && !leaving && (!report || report->ready);
+        return !must_empty() && (!report || report->ready);
     }
 };
 
--- a/src/forward_answers.cpp
+++ b/src/forward_answers.cpp
@@ -1,7 +1,9 @@
 #include "forward_answers.hpp"
 
 #include "claim_calls.hpp"
+#include "hedge_calls.hpp"
 #include "request_lifecycle.hpp"
+#include "retry_requests.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -12,16 +14,6 @@
 namespace
 {
 
-constexpr duration retry_delay = milliseconds(20);
-
-void retry_elsewhere(world &w, request_state &request, attempt_number attempt)
-{
-    end_attempt(w, attempt);
-    ++w.totals.retries;
-    request.not_before = w.now + retry_delay;
-    requeue_request(w, request);
-}
-
 void end_prefill(world &w, attempt_state &attempt)
 {
     auto &engine = w.engines.at(*attempt.engine);
@@ -29,17 +21,46 @@
     attempt.counted_prefill_tokens = 0;
 }
 
+/// @return true when the chunk follows the last one and does not cross the end
+///         of what was delivered before
+bool continues(request_state const &request, attempt_state const &attempt,
+               engine_event const &event)
+{
+    int const end = event.offset + event.tokens;
+    bool const delivered = end <= request.delivered_tokens;
+    return event.offset == attempt.next_offset &&
+           (delivered || event.offset == request.delivered_tokens);
+}
+
+void note_progress(world &w, attempt_state &attempt, int tokens)
+{
+    end_prefill(w, attempt);
+    attempt.next_offset += tokens;
+    attempt.last_progress_at = w.now;
+    if (!attempt.first_token_at)
+    {
+        attempt.first_token_at = w.now;
+    }
+}
+
 void forward_chunk(world &w, request_state &request, attempt_state &attempt,
                    engine_event const &event)
 {
-    if (event.offset != attempt.next_offset)
+    if (event.offset + event.tokens <= attempt.next_offset)
+    {
+        ++w.totals.events_dropped;
+        return;
+    }
+    if (!continues(request, attempt, event))
+    {
+        lose_attempt(w, request, attempt.attempt, attempt_loss::interrupted);
+        return;
+    }
+    note_progress(w, attempt, event.tokens);
+    if (attempt.next_offset <= request.delivered_tokens)
     {
-        retry_elsewhere(w, request, attempt.attempt);
         return;
     }
-    end_prefill(w, attempt);
-    attempt.next_offset += event.tokens;
-    attempt.last_progress_at = w.now;
     if (!request.first_token_at)
     {
         request.first_token_at = w.now;
@@ -58,9 +79,10 @@
 void finish_stream(world &w, request_state &request, attempt_state &attempt,
                    engine_event const &event)
 {
-    if (event.offset != attempt.next_offset)
+    if (event.offset != attempt.next_offset ||
+        event.offset < request.delivered_tokens)
     {
-        retry_elsewhere(w, request, attempt.attempt);
+        lose_attempt(w, request, attempt.attempt, attempt_loss::interrupted);
         return;
     }
     auto const number = request.arrival.request;
@@ -90,11 +112,13 @@
     case engine_event_kind::finished:
         finish_stream(w, *request, *attempt, event);
         return;
-    case engine_event_kind::prefilled:
     case engine_event_kind::refused:
     case engine_event_kind::failed_before_send:
+        lose_attempt(w, *request, event.attempt, attempt_loss::not_started);
+        return;
+    case engine_event_kind::prefilled:
     case engine_event_kind::failed_after_send:
-        retry_elsewhere(w, *request, attempt->attempt);
+        lose_attempt(w, *request, event.attempt, attempt_loss::interrupted);
         return;
     }
 }
@@ -102,10 +126,8 @@
 void finish_call(world &w, request_state &request, service_reply const &reply)
 {
     auto const number = request.arrival.request;
-    if (!request.arrival.idempotent)
-    {
-        record_outcome(w, request, reply.http_status, reply.body);
-    }
+    settle_done(w, number, reply.http_status, reply.body);
+    note_call_latency(w, request, *w.attempts.find(reply.attempt));
     caller_reply out;
     out.request = number;
     out.kind = caller_reply_kind::finished;
@@ -116,6 +138,25 @@
     finish_request(w, number);
 }
 
+void fail_call(world &w, request_state &request, service_reply const &reply)
+{
+    if (reply.kind == service_reply_kind::failed_before_send)
+    {
+        mark_sent(w, request.arrival.request, false);
+        lose_attempt(w, request, reply.attempt, attempt_loss::not_started);
+        return;
+    }
+    if (request.arrival.idempotent)
+    {
+        lose_attempt(w, request, reply.attempt, attempt_loss::interrupted);
+        return;
+    }
+    refuse_request(w, request.arrival.request,
+                   w.faults.refuse_after_send ? result_code::no_endpoint
+                                              : result_code::outcome_unknown,
+                   "the endpoint's answer was lost");
+}
+
 void handle_service_reply(world &w, service_reply const &reply)
 {
     auto *attempt = w.attempts.find(reply.attempt);
@@ -130,15 +171,7 @@
         finish_call(w, *request, reply);
         return;
     }
-    if (request->arrival.idempotent ||
-        reply.kind == service_reply_kind::failed_before_send)
-    {
-        retry_elsewhere(w, *request, reply.attempt);
-        return;
-    }
-    record_unknown(w, *request);
-    refuse_request(w, request->arrival.request, result_code::outcome_unknown,
-                   "the endpoint's answer was lost");
+    fail_call(w, *request, reply);
 }
 
 } // namespace
--- a/src/receive_requests.cpp
+++ b/src/receive_requests.cpp
@@ -1,5 +1,6 @@
 #include "receive_requests.hpp"
 
+#include "claim_calls.hpp"
 #include "request_lifecycle.hpp"
 #include "world.hpp"
 
@@ -61,7 +62,13 @@
     state.kind = kind;
     state.account = account_of(w.config, arrival.caller);
     state.arrived_at = w.now;
-    state.delivered_tokens = arrival.resume ? arrival.resume->offset : 0;
+    if (arrival.resume)
+    {
+        int const shift = w.faults.shift_resume_offset ? 1 : 0;
+        state.delivered_tokens = arrival.resume->offset + shift;
+        state.text_offset = state.delivered_tokens;
+        state.reattach = *arrival.resume;
+    }
     state.arrival = std::move(arrival);
     auto const number = state.arrival.request;
     w.requests.add(std::move(state));
@@ -71,6 +78,7 @@
 void receive(world &w, request_arrival &arrival)
 {
     ++w.totals.requests;
+    arrival.idempotent |= asks_for_outcome(arrival);
     if (w.draining)
     {
         refuse_arrival(w, arrival, result_code::daemon_draining,
@@ -96,7 +104,8 @@
                            service->name + "\"");
         return;
     }
-    if (!arrival.idempotent && arrival.idempotency_key.empty())
+    if ((!arrival.idempotent || asks_for_outcome(arrival)) &&
+        arrival.idempotency_key.empty())
     {
         refuse_arrival(w, arrival, result_code::idempotency_key_missing,
                        "a non-idempotent call needs an Idempotency-Key");
@@ -105,16 +114,6 @@
     store_arrival(w, arrival, *kind);
 }
 
-void cancel_engine_attempt(world &w, request_state &request)
-{
-    auto const *attempt = w.attempts.find(*request.attempt);
-    auto const &engine = w.engines.at(*attempt->engine);
-    w.out.attempt_cancels.push_back({attempt->attempt, engine.definition.name,
-                                     engine.definition.address,
-                                     attempt->stream_key});
-    end_attempt(w, attempt->attempt);
-}
-
 void depart(world &w, request_number number)
 {
     auto *request = w.requests.find(number);
@@ -129,12 +128,9 @@
     }
     if (request->attempt && request->arrival.service.empty())
     {
-        cancel_engine_attempt(w, *request);
-    }
-    else if (request->attempt)
-    {
-        end_attempt(w, *request->attempt);
+        cancel_attempt(w, *w.attempts.find(*request->attempt));
     }
+    end_attempts(w, *request);
     ++w.totals.cancelled;
     w.requests.erase(number);
 }
--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -1,9 +1,12 @@
 #include "request_lifecycle.hpp"
 
+#include "claim_calls.hpp"
 #include "internal_assert.hpp"
+#include "retry_requests.hpp"
 #include "world.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace agateledge
 {
@@ -45,14 +48,20 @@
     attempt.started_at = w.now;
     attempt.last_progress_at = w.now;
     attempt.next_offset = request.delivered_tokens;
-    request.attempt = attempt.attempt;
+    auto &place = request.attempt ? request.hedge : request.attempt;
+    place = attempt.attempt;
     request.phase = request_phase::running;
     ++request.attempts;
     return attempt;
 }
 
-void count_refusal(world &w, result_code code)
+void count_refusal(world &w, request_state const &request, result_code code)
 {
+    if (request.accepted && code == result_code::daemon_draining)
+    {
+        ++w.totals.handed_over;
+        return;
+    }
     if (states_not_run(code))
     {
         ++w.totals.refused_not_run;
@@ -82,7 +91,27 @@
     auto attempt = new_attempt(w, request);
     attempt.engine = engine;
     attempt.counted_prefill_tokens = request.arrival.prompt_tokens;
+    // An engine can continue only an answer whose text is known; otherwise it
+    // generates the answer again and the delivered part is dropped.
+    if (request.text_offset > 0)
+    {
+        attempt.next_offset = 0;
+    }
+    count_engine_load(w, attempt, 1);
+    plan_progress_check(w, attempt.attempt);
+    return w.attempts.add(std::move(attempt));
+}
+
+attempt_state &begin_attached_attempt(world &w, request_state &request,
+                                      engine_index engine,
+                                      resume_point const &stream)
+{
+    auto attempt = new_attempt(w, request);
+    attempt.engine = engine;
+    attempt.stream_key = stream.stream_key;
+    attempt.attached = true;
     count_engine_load(w, attempt, 1);
+    plan_progress_check(w, attempt.attempt);
     return w.attempts.add(std::move(attempt));
 }
 
@@ -113,22 +142,44 @@
     auto *request = w.requests.find(attempt->request);
     if (request != nullptr && request->attempt == number)
     {
-        request->attempt.reset();
+        request->attempt = std::exchange(request->hedge, std::nullopt);
+    }
+    else if (request != nullptr && request->hedge == number)
+    {
+        request->hedge.reset();
     }
     w.attempts.erase(number);
 }
 
+void end_attempts(world &w, request_state &request)
+{
+    while (request.attempt)
+    {
+        end_attempt(w, *request.attempt);
+    }
+}
+
+void cancel_attempt(world &w, attempt_state const &attempt)
+{
+    auto const &engine = w.engines.at(*attempt.engine).definition;
+    w.out.attempt_cancels.push_back(
+        {attempt.attempt, engine.name, engine.address, attempt.stream_key});
+    end_attempt(w, attempt.attempt);
+}
+
 void refuse_request(world &w, request_number number, result_code code,
                     std::string message)
 {
     auto *request = w.requests.find(number);
     internal_assert(request != nullptr, "refusal of ended request ",
                     number.value());
-    if (request->attempt)
-    {
-        end_attempt(w, *request->attempt);
-    }
-    count_refusal(w, code);
+    internal_assert(!states_not_run(code) || !may_have_run(w, number) ||
+                        w.faults.refuse_after_send,
+                    "request ", number.value(),
+                    " was sent and is refused as not run: ", name_of(code));
+    end_attempts(w, *request);
+    settle_unanswered(w, number);
+    count_refusal(w, *request, code);
     w.out.caller_replies.push_back(
         {number, caller_reply_kind::refused, code, std::move(message)});
     w.requests.erase(number);
@@ -139,6 +190,7 @@
     auto *request = w.requests.find(number);
     internal_assert(request != nullptr, "end of ended request ",
                     number.value());
+    end_attempts(w, *request);
     ++w.totals.answered;
     w.totals.answered_in_time += in_time(w, *request) ? 1 : 0;
     w.requests.erase(number);
--- a/src/request_lifecycle.hpp
+++ b/src/request_lifecycle.hpp
@@ -11,6 +11,7 @@
 
 struct attempt_state;
 struct request_state;
+struct resume_point;
 struct world;
 
 /// @return the key that names an attempt's stream at its engine:
@@ -23,7 +24,15 @@
 attempt_state &begin_engine_attempt(world &w, request_state &request,
                                     engine_index engine);
 
-/// Begins an attempt of `request` on an endpoint of a plain service.
+/// Begins an attempt of `request` that attaches to a running stream.
+///
+/// @return the stored attempt
+attempt_state &begin_attached_attempt(world &w, request_state &request,
+                                      engine_index engine,
+                                      resume_point const &stream);
+
+/// Begins an attempt of `request` on an endpoint of a plain service. A second
+/// one beside a running attempt is a hedge.
 ///
 /// @return the stored attempt
 attempt_state &begin_service_attempt(world &w, request_state &request,
@@ -33,6 +42,12 @@
 /// of the attempt are dropped.
 void end_attempt(world &w, attempt_number attempt);
 
+/// Ends all attempts of a request.
+void end_attempts(world &w, request_state &request);
+
+/// Asks the engine of an attempt to stop its stream, and ends the attempt.
+void cancel_attempt(world &w, attempt_state const &attempt);
+
 /// Ends a request without an answer and tells the caller why.
 void refuse_request(world &w, request_number request, result_code code,
                     std::string message);
--- a/src/request_table.hpp
+++ b/src/request_table.hpp
@@ -41,12 +41,24 @@
     /// Answer so far, delivered to the caller.
     int delivered_tokens = 0;
     std::string delivered_text;
+    /// Offset of the first token in `delivered_text`; above 0 after a resume,
+    /// since the text before it was delivered by another daemon.
+    int text_offset = 0;
     std::optional<attempt_number> attempt;
+    /// Second attempt of a hedged call.
+    std::optional<attempt_number> hedge;
     int attempts = 0;
-    /// Version of the claim row of a non-idempotent call; 0 without a claim.
-    std::uint64_t claim_row_version = 0;
     /// Earliest time of the next attempt.
     instant not_before{};
+    /// True when the next attempt repeats work and needs the retry budget.
+    bool needs_retry = false;
+    /// Time at which the request began to wait for the retry budget.
+    std::optional<instant> starved_since;
+    /// Stream that the next attempt attaches to in place of starting one.
+    std::optional<resume_point> reattach;
+    /// Target of the last failed attempt, avoided while there is another.
+    std::optional<engine_index> avoid_engine;
+    std::optional<endpoint_index> avoid_endpoint;
 };
 
 /// Open requests by number.
--- a/src/select_endpoint.cpp
+++ b/src/select_endpoint.cpp
@@ -15,7 +15,8 @@
     {
         auto const &endpoint = w.endpoints.all()[i];
         if (!endpoint.takes_work() ||
-            endpoint.definition.service != request.kind.service)
+            endpoint.definition.service != request.kind.service ||
+            request.avoid_endpoint == endpoint_index(i))
         {
             continue;
         }
@@ -24,7 +25,10 @@
             best = endpoint_index(i);
         }
     }
-    return best;
+    bool const last_resort =
+        !best && request.avoid_endpoint &&
+        w.endpoints.at(*request.avoid_endpoint).takes_work();
+    return last_resort ? request.avoid_endpoint : best;
 }
 
 } // namespace agateledge
--- a/src/select_engine.cpp
+++ b/src/select_engine.cpp
@@ -27,12 +27,20 @@
         {
             continue;
         }
+        bool const avoided =
+            request.avoid_engine && *request.avoid_engine == engine_index(i);
+        if (avoided)
+        {
+            continue;
+        }
         if (!best || open_requests(engine) < open_requests(w.engines.at(*best)))
         {
             best = engine_index(i);
         }
     }
-    return best;
+    bool const last_resort = !best && request.avoid_engine &&
+                             w.engines.at(*request.avoid_engine).takes_work();
+    return last_resort ? request.avoid_engine : best;
 }
 
 } // namespace agateledge
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -4,8 +4,11 @@
 #include "claim_calls.hpp"
 #include "dispatch_requests.hpp"
 #include "forward_answers.hpp"
+#include "hedge_calls.hpp"
 #include "internal_assert.hpp"
 #include "receive_requests.hpp"
+#include "retry_requests.hpp"
+#include "stop_daemon.hpp"
 #include "track_engines.hpp"
 #include "world.hpp"
 
@@ -20,9 +23,12 @@
     w.now = now;
     w.next_wake.reset();
     track_engines(w);
+    stop_daemon(w);
     forward_answers(w);
     receive_requests(w);
     claim_calls(w);
+    retry_requests(w);
+    hedge_calls(w);
     dispatch_requests(w);
     check_invariants(w);
     w.in = {};
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -8,11 +8,13 @@
 #include "cost_table.hpp"
 #include "counters.hpp"
 #include "daemon_identity.hpp"
+#include "due_queue.hpp"
 #include "endpoint_table.hpp"
 #include "engine_table.hpp"
 #include "fault_switches.hpp"
 #include "ids.hpp"
 #include "inbox.hpp"
+#include "latency_window.hpp"
 #include "lease_table.hpp"
 #include "order_table.hpp"
 #include "outbox.hpp"
@@ -20,11 +22,14 @@
 #include "query_table.hpp"
 #include "random_source.hpp"
 #include "request_table.hpp"
+#include "retry_budget.hpp"
 #include "time.hpp"
 #include "usage_table.hpp"
 
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace agateledge
 {
@@ -56,6 +61,13 @@
     /// Requests in phase `waiting`, in order of arrival.
     std::deque<request_number> waiting;
     claim_table claims;
+    retry_budget retries;
+    /// Idempotent plain calls by the time at which they are hedged.
+    due_queue<request_number> hedges;
+    /// Observed latencies by plain service.
+    std::map<std::string, latency_window> call_latencies;
+    /// Time of the next look at engines that are being emptied.
+    instant next_drain_check{};
     lease_table leases;
     order_table orders;
     peer_table peers;
@@ -67,6 +79,7 @@
     fault_switches faults;
     /// True from the shutdown request on.
     bool draining = false;
+    instant draining_since{};
     std::uint64_t last_operation = 0;
     inbox in;
     outbox out;
