Add the randomised run with faults and an oracle of callers

Cause: the guarantees towards callers had no test under faults. Change: the virtual deployment kills, restarts, pauses, stops and cuts off daemons, loses and repeats messages and attaches streams; callers retry and resume and check every reply; long_run fires faults and shrinks a failure.

--- /dev/null
+++ b/harness/fault_schedule.hpp
@@ -0,0 +1,103 @@
+#ifndef AGATELEDGE_FAULT_SCHEDULE_HPP
+#define AGATELEDGE_FAULT_SCHEDULE_HPP
+
+#include "configuration.hpp"
+#include "random_source.hpp"
+#include "time.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+class virtual_callers;
+class virtual_deployment;
+
+/// One fault that was fired, for the trace of a violation.
+struct fired_fault
+{
+    instant when;
+    std::string kind;
+    std::string target;
+
+    auto operator<=>(fired_fault const &) const = default;
+};
+
+/// Fires faults at random moments, also several at once and the same one twice.
+/// Each kind has its own random numbers, so that a run without one kind keeps
+/// the times of the others.
+class fault_schedule
+{
+public:
+    /// @param deployment where the faults take effect
+    /// @param callers callers of daemons that end, who also fire faults
+    /// @param seed seed of the times and targets
+    /// @param without kinds that are not fired
+    fault_schedule(virtual_deployment &deployment, virtual_callers &callers,
+                   std::uint64_t seed, std::set<std::string> const &without);
+
+    /// Fires no further faults; those that last end by themselves.
+    void end() { ended_ = true; }
+
+    std::vector<fired_fault> const &fired() const { return fired_; }
+
+    /// @return names of all kinds
+    static std::vector<std::string> kinds();
+
+private:
+    struct fault_kind
+    {
+        std::string name;
+        random_source random;
+        std::function<std::string(random_source &)> fire;
+    };
+
+    void add(std::string const &name, std::uint64_t seed,
+             std::function<std::string(random_source &)> fire);
+    void plan(std::size_t kind);
+    void fire(std::size_t kind);
+    void after(duration delay, std::function<void()> action);
+    /// Keeps `counter` raised for a random time.
+    std::string hold(random_source &random, int &counter, duration longest);
+    std::size_t pick_daemon(random_source &random) const;
+    std::string pick_engine(random_source &random) const;
+
+    void add_daemon_faults(std::uint64_t seed);
+    void add_network_faults(std::uint64_t seed);
+    void add_store_faults(std::uint64_t seed);
+    void add_engine_faults(std::uint64_t seed);
+    void add_planned_changes(std::uint64_t seed);
+    void add_caller_faults(std::uint64_t seed);
+    void install_hooks();
+
+    std::string kill(random_source &random);
+    std::string pause(random_source &random);
+    std::string stop(random_source &random);
+    std::string cut(random_source &random, std::string const &one,
+                    std::string const &other);
+    std::string drain(random_source &random, std::string const &name);
+    void set_draining(std::string const &name, bool draining);
+    void check_target(std::string const &target) const;
+
+    virtual_deployment &deployment_;
+    virtual_callers &callers_;
+    random_source random_;
+    std::vector<fault_kind> kinds_;
+    std::vector<fired_fault> fired_;
+    std::map<std::string, instant> draining_since_;
+    std::map<std::pair<std::string, std::string>, int> cut_depth_;
+    int lost_writes_ = 0;
+    int store_outages_ = 0;
+    int lost_answers_ = 0;
+    int disordered_ = 0;
+    bool ended_ = false;
+};
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/harness/virtual_callers.hpp
@@ -0,0 +1,132 @@
+#ifndef AGATELEDGE_VIRTUAL_CALLERS_HPP
+#define AGATELEDGE_VIRTUAL_CALLERS_HPP
+
+#include "example_deployment.hpp"
+#include "ids.hpp"
+#include "outbox.hpp"
+#include "random_source.hpp"
+#include "time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+class virtual_deployment;
+
+/// Callers of a virtual deployment. They retry bookings and resume answers at
+/// other daemons, and check everything that they are told against an oracle
+/// that sees the effects. A broken promise is reported as an assertion.
+class virtual_callers
+{
+public:
+    /// @param deployment daemons to call; its hooks are installed here
+    /// @param example classes and services to call
+    /// @param seed seed of the callers' decisions
+    virtual_callers(virtual_deployment &deployment,
+                    example_deployment const &example, std::uint64_t seed);
+
+    /// Plans calls from now on.
+    ///
+    /// @param interval mean time between two calls
+    void begin(duration interval);
+
+    /// Starts no further calls.
+    void end() { ended_ = true; }
+
+    /// Breaks the connections to a daemon.
+    ///
+    /// @param planned true when the daemon has shut down by itself
+    void lose_daemon(std::size_t daemon, bool planned);
+
+    /// Lets the caller of an open stream reconnect at another daemon.
+    void reconnect_one();
+
+    /// Lets the caller of an open booking repeat it at another daemon.
+    void repeat_one();
+
+    /// @return true when every call has ended
+    bool all_ended() const { return open_calls_ == 0; }
+
+    /// @return what is still open, for the message of a violation
+    std::string open_call() const;
+
+    std::uint64_t requests() const { return requests_; }
+    std::uint64_t answered() const { return answered_; }
+
+private:
+    enum class call_kind
+    {
+        model,
+        booking,
+        status,
+        outcome,
+    };
+
+    /// What one caller wants, over all of its tries.
+    struct caller_call
+    {
+        call_kind kind = call_kind::model;
+        class_shape shape;
+        std::uint64_t seed = 0;
+        std::string key;
+        int received = 0;
+        bool accepted = false;
+        resume_point place;
+        int tries = 0;
+        int open_tries = 0;
+        int effects = 0;
+        /// For a query of an outcome: the booking, and its tries before.
+        std::size_t booking = 0;
+        int tries_before = 0;
+        bool ended = false;
+    };
+
+    /// One request to one daemon.
+    struct caller_try
+    {
+        std::size_t call = 0;
+        std::size_t daemon = 0;
+        bool open = true;
+        bool had_effect = false;
+        bool told_not_run = false;
+        std::uint64_t progress = 0;
+    };
+
+    void plan_call(duration interval);
+    void start_call();
+    void send(std::size_t call);
+    request_arrival arrival_of(caller_call const &call) const;
+    void watch(request_number request, std::uint64_t progress);
+    void close(request_number request);
+    void end_call(caller_call &call);
+    void try_again(std::size_t call, duration delay);
+    void handle_reply(std::size_t daemon, caller_reply const &reply);
+    void handle_chunk(caller_try &item, caller_reply const &reply);
+    void handle_finished(caller_try &item, caller_reply const &reply);
+    void handle_refused(caller_try &item, caller_reply const &reply);
+    void handle_outcome(caller_call const &query,
+                        std::string const &text) const;
+    void handle_effect(request_number request);
+    void ask_outcome(std::size_t booking);
+
+    virtual_deployment &deployment_;
+    example_deployment example_;
+    random_source random_;
+    bool ended_ = false;
+    std::vector<caller_call> calls_;
+    std::map<request_number, caller_try> tries_;
+    std::set<request_number> open_tries_;
+    std::size_t open_calls_ = 0;
+    std::uint64_t last_request_ = 0;
+    std::uint64_t requests_ = 0;
+    std::uint64_t answered_ = 0;
+};
+
+} // namespace agateledge
+
+#endif
--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -26,14 +26,14 @@
     return options;
 }
 
-engine_event to_engine_event(attempt_number attempt, standin_event event)
+engine_event to_engine_event(attempt_number attempt, standin_event const &event)
 {
     engine_event out;
     out.attempt = attempt;
     out.kind = event.kind;
     out.offset = event.offset;
     out.tokens = event.tokens;
-    out.text = std::move(event.text);
+    out.text = event.text;
     out.cached_tokens = event.cached_tokens;
     return out;
 }
@@ -62,7 +62,7 @@
 virtual_deployment::virtual_deployment(configuration const &config,
                                        std::vector<std::string> const &daemons,
                                        std::uint64_t seed)
-    : random_(seed)
+    : config_(config), random_(seed)
 {
     for (auto const &definition : config.engines)
     {
@@ -75,14 +75,107 @@
     {
         auto const name = "daemon-" + std::to_string(daemons_.size());
         auto &daemon = daemons_.emplace_back();
-        daemon.state = std::make_unique<world>(
-            daemon_identity{name, incarnation_number(1), data_centre, name},
-            random_());
-        put_in_force(*daemon.state, config);
+        daemon.identity = {name, incarnation_number(1), data_centre, name};
+        start(daemons_.size() - 1);
     }
     at(now_ + delays_.load_report_interval, [this] { report_loads(); });
 }
 
+void virtual_deployment::start(std::size_t index)
+{
+    auto &daemon = daemons_[index];
+    daemon.identity.incarnation = incarnation_number(daemon.incarnation);
+    daemon.state = std::make_unique<world>(daemon.identity, random_());
+    daemon.state->now = now_;
+    daemon.alive = true;
+    put_in_force(*daemon.state, config_);
+    if (on_start)
+    {
+        on_start(*daemon.state);
+    }
+}
+
+void virtual_deployment::kill(std::size_t index)
+{
+    daemons_[index].alive = false;
+    daemons_[index].paused = false;
+}
+
+void virtual_deployment::restart(std::size_t index)
+{
+    ++daemons_[index].incarnation;
+    start(index);
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::pause(std::size_t index)
+{
+    daemons_[index].paused = true;
+}
+
+void virtual_deployment::resume(std::size_t index)
+{
+    daemons_[index].paused = false;
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::stop(std::size_t index)
+{
+    daemons_[index].state->in.shutdown = true;
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::depart(std::size_t index, request_number request)
+{
+    daemons_[index].state->in.departures.push_back({request});
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::crash_engine(std::string const &name)
+{
+    advance_engine(name);
+    auto &engine = engines_.at(name);
+    engine.model->crash(now_);
+    for (auto const &[key, reader] : std::exchange(engine.readers, {}))
+    {
+        standin_event event;
+        event.kind = engine_event_kind::failed_after_send;
+        deliver_event(engine.data_centre, reader, event);
+    }
+}
+
+bool virtual_deployment::is_cut(std::string const &one,
+                                std::string const &other) const
+{
+    return !cuts.empty() &&
+           (cuts.contains({one, other}) || cuts.contains({other, one}));
+}
+
+virtual_origin virtual_deployment::origin_of(std::size_t daemon) const
+{
+    return {daemon, daemons_[daemon].incarnation};
+}
+
+std::string const &virtual_deployment::data_centre_of(std::size_t daemon) const
+{
+    return daemons_[daemon].identity.data_centre;
+}
+
+void virtual_deployment::deliver(virtual_origin origin, duration delay,
+                                 std::function<void(inbox &)> put)
+{
+    at(now_ + delay,
+       [this, origin, put = std::move(put)]
+       {
+           auto &daemon = daemons_[origin.daemon];
+           if (daemon.alive && daemon.incarnation == origin.incarnation)
+           {
+               put(daemon.state->in);
+               plan_tick(origin.daemon, now_);
+           }
+       });
+}
+
 void virtual_deployment::at(instant when, std::function<void()> action)
 {
     queue_.push({std::max(when, now_), ++last_sequence_, std::move(action)});
@@ -143,7 +236,7 @@
     }
     tick(*daemon.state, now_);
     carry_out(index);
-    if (daemon.state->next_wake)
+    if (daemon.alive && daemon.state->next_wake)
     {
         plan_tick(index,
                   std::max(*daemon.state->next_wake, now_ + microseconds(1)));
@@ -162,75 +255,150 @@
     }
     std::ranges::for_each(out.engine_calls, [&](engine_call const &call)
                           { send_engine_call(index, call); });
-    for (auto const &cancel : out.attempt_cancels)
-    {
-        auto const name = cancel.engine;
-        at(now_ + delay_to(index, engines_.at(name).data_centre),
-           [this, name, key = cancel.stream_key]
-           { engines_.at(name).model->cancel(key); });
-    }
+    std::ranges::for_each(out.attempt_cancels, [&](attempt_cancel const &cancel)
+                          { send_attempt_cancel(index, cancel); });
     std::ranges::for_each(out.service_calls, [&](service_call const &call)
                           { send_service_call(index, call); });
     std::ranges::for_each(out.table_calls, [&](table_call const &call)
                           { send_table_call(index, call); });
     std::ranges::for_each(out.order_calls, [&](order_call const &call)
                           { send_order_call(index, call); });
+    if (out.stop_ready)
+    {
+        daemons_[index].alive = false;
+        if (on_stopped)
+        {
+            on_stopped(index);
+        }
+    }
 }
 
 duration virtual_deployment::delay_to(std::size_t daemon,
                                       std::string const &data_centre) const
 {
-    return daemons_[daemon].state->identity.data_centre == data_centre
-               ? delays_.within_data_centre
-               : delays_.between_data_centres;
+    return data_centre_of(daemon) == data_centre ? delays_.within_data_centre
+                                                 : delays_.between_data_centres;
 }
 
 void virtual_deployment::send_engine_call(std::size_t daemon,
                                           engine_call const &call)
 {
+    if (on_send && !call.attach)
+    {
+        on_send(daemon, call.engine);
+    }
     at(now_ + delay_to(daemon, engines_.at(call.engine).data_centre),
-       [this, daemon, call] { deliver_engine_call(daemon, call); });
+       [this, origin = origin_of(daemon), call]
+       { deliver_engine_call(origin, call); });
 }
 
-void virtual_deployment::deliver_engine_call(std::size_t daemon,
+void virtual_deployment::fail_engine_call(virtual_origin origin,
+                                          engine_call const &call,
+                                          engine_event_kind kind,
+                                          duration delay)
+{
+    engine_event event;
+    event.attempt = call.attempt;
+    event.kind = kind;
+    deliver(origin, delay,
+            [event](inbox &in) { in.engine_events.push_back(event); });
+}
+
+void virtual_deployment::deliver_engine_call(virtual_origin origin,
                                              engine_call const &call)
 {
     auto &engine = engines_.at(call.engine);
-    engine_event failure;
-    failure.attempt = call.attempt;
-    if (!engine.reachable)
+    auto const delay = delay_to(origin.daemon, engine.data_centre);
+    bool const cut = is_cut(data_centre_of(origin.daemon), engine.data_centre);
+    if (!engine.reachable || cut)
     {
-        failure.kind = engine_event_kind::failed_before_send;
-        deliver_event(daemon, failure);
+        fail_engine_call(origin, call, engine_event_kind::failed_before_send,
+                         cut ? delays_.call_timeout : delay);
         return;
     }
     advance_engine(call.engine);
+    if (call.attach)
+    {
+        attach_stream(origin, call);
+        return;
+    }
     auto const length = output_tokens ? output_tokens(call)
                                       : std::max(1, call.max_output_tokens);
     if (!engine.model->start(to_work(call, length), now_))
     {
-        failure.kind = engine_event_kind::refused;
-        deliver_event(daemon, failure);
+        fail_engine_call(origin, call, engine_event_kind::refused, delay);
         return;
     }
-    engine.readers[call.stream_key] = {daemon, call.attempt};
+    engine.readers[call.stream_key] = {origin, call.attempt};
     plan_step(call.engine);
 }
 
-void virtual_deployment::deliver_event(std::size_t daemon, engine_event event)
+void virtual_deployment::attach_stream(virtual_origin origin,
+                                       engine_call const &call)
+{
+    auto &engine = engines_.at(call.engine);
+    auto const events =
+        engine.model->replay(call.stream_key, call.generated_tokens);
+    if (!events)
+    {
+        fail_engine_call(origin, call, engine_event_kind::refused,
+                         delay_to(origin.daemon, engine.data_centre));
+        return;
+    }
+    virtual_reader const reader{origin, call.attempt};
+    engine.readers[call.stream_key] = reader;
+    std::ranges::for_each(*events,
+                          [&](standin_event const &event) {
+                              deliver_event(engine.data_centre, reader, event);
+                          });
+}
+
+void virtual_deployment::send_attempt_cancel(std::size_t daemon,
+                                             attempt_cancel const &cancel)
 {
-    at(now_ + delays_.within_data_centre,
-       [this, daemon, event = std::move(event)]
+    virtual_reader const reader{origin_of(daemon), cancel.attempt};
+    auto const data_centre = engines_.at(cancel.engine).data_centre;
+    if (is_cut(data_centre_of(daemon), data_centre))
+    {
+        return;
+    }
+    at(now_ + delay_to(daemon, data_centre),
+       [this, reader, cancel]
        {
-           if (!daemons_[daemon].alive)
+           auto &engine = engines_.at(cancel.engine);
+           auto const found = engine.readers.find(cancel.stream_key);
+           if (found != engine.readers.end() && found->second == reader)
            {
-               return;
+               engine.readers.erase(found);
+               engine.model->cancel(cancel.stream_key);
            }
-           daemons_[daemon].state->in.engine_events.push_back(event);
-           plan_tick(daemon, now_);
        });
 }
 
+void virtual_deployment::deliver_event(std::string const &data_centre,
+                                       virtual_reader reader,
+                                       standin_event event)
+{
+    auto const daemon = reader.origin.daemon;
+    if (is_cut(data_centre_of(daemon), data_centre))
+    {
+        return;
+    }
+    auto const message = to_engine_event(reader.attempt, event);
+    auto const fate = event_fate ? event_fate(message) : message_fate();
+    auto const delay = delay_to(daemon, data_centre) + fate.delay;
+    auto const put = [message](inbox &in)
+    { in.engine_events.push_back(message); };
+    if (!fate.lost)
+    {
+        deliver(reader.origin, delay, put);
+    }
+    if (fate.doubled)
+    {
+        deliver(reader.origin, delay * 2, put);
+    }
+}
+
 void virtual_deployment::plan_step(std::string const &name)
 {
     auto &engine = engines_.at(name);
@@ -249,21 +417,21 @@
     engine.planned_step = instant::max();
     std::vector<standin_event> events;
     engine.model->advance(now_, events);
-    for (auto &event : events)
+    for (auto const &event : events)
     {
         auto const reader = engine.readers.find(event.stream_key);
         if (reader == engine.readers.end())
         {
             continue;
         }
-        auto const [daemon, attempt] = reader->second;
+        auto const target = reader->second;
         if (event.kind == engine_event_kind::finished)
         {
             engine.readers.erase(reader);
         }
         if (engine.reachable)
         {
-            deliver_event(daemon, to_engine_event(attempt, std::move(event)));
+            deliver_event(engine.data_centre, target, event);
         }
     }
     plan_step(name);
@@ -281,18 +449,15 @@
         advance_engine(name);
         auto report = engine.model->load();
         report.age = delays_.load_report_lag;
-        at(now_ + delays_.load_report_lag,
-           [this, report]
-           {
-               for (auto &daemon : daemons_)
-               {
-                   daemon.state->in.load_reports.push_back(report);
-               }
-           });
-    }
-    for (std::size_t i = 0; i < daemons_.size(); ++i)
-    {
-        plan_tick(i, now_ + delays_.load_report_interval);
+        for (std::size_t i = 0; i < daemons_.size(); ++i)
+        {
+            if (!is_cut(data_centre_of(i), engine.data_centre))
+            {
+                deliver(origin_of(i), delays_.load_report_lag,
+                        [report](inbox &in)
+                        { in.load_reports.push_back(report); });
+            }
+        }
     }
     at(now_ + delays_.load_report_interval, [this] { report_loads(); });
 }
@@ -300,43 +465,86 @@
 void virtual_deployment::send_service_call(std::size_t daemon,
                                            service_call const &call)
 {
-    auto const &endpoints = daemons_[daemon].state->endpoints;
-    auto const &endpoint =
-        endpoints.at(*endpoints.find(call.endpoint)).definition;
-    auto const delay = delay_to(daemon, endpoint.data_centre);
-    at(now_ + delay,
-       [this, daemon, call, service = endpoint.service, delay]
-       {
-           auto const answer = services_[service].call(
-               call.method, call.idempotency_key, call.body ? *call.body : "");
-           service_reply reply;
-           reply.attempt = call.attempt;
-           reply.http_status = answer.http_status;
-           reply.body = answer.body;
-           at(now_ + delay + milliseconds(2),
-              [this, daemon, reply]
-              {
-                  daemons_[daemon].state->in.service_replies.push_back(reply);
-                  plan_tick(daemon, now_);
-              });
-       });
+    auto &state = *daemons_[daemon].state;
+    auto const endpoint =
+        state.endpoints.at(*state.endpoints.find(call.endpoint)).definition;
+    auto const request = state.attempts.find(call.attempt)->request;
+    if (on_send)
+    {
+        on_send(daemon, call.endpoint);
+    }
+    at(now_ + delay_to(daemon, endpoint.data_centre),
+       [this, origin = origin_of(daemon), request, call, endpoint]
+       { answer_service_call(origin, request, call, endpoint); });
+}
+
+void virtual_deployment::answer_service_call(
+    virtual_origin origin, request_number request, service_call const &call,
+    endpoint_definition const &endpoint)
+{
+    auto const delay = delay_to(origin.daemon, endpoint.data_centre);
+    auto const &here = data_centre_of(origin.daemon);
+    service_reply reply;
+    reply.attempt = call.attempt;
+    reply.kind = service_reply_kind::failed_before_send;
+    auto const put = [&reply, this, origin](duration after)
+    {
+        deliver(origin, after,
+                [reply](inbox &in) { in.service_replies.push_back(reply); });
+    };
+    if (closed_endpoints.contains(call.endpoint) ||
+        is_cut(here, endpoint.data_centre))
+    {
+        put(delay);
+        return;
+    }
+    auto const answer = services_[endpoint.service].call(
+        call.method, call.idempotency_key, call.body ? *call.body : "");
+    if (on_service_effect)
+    {
+        on_service_effect(origin.daemon, request, call);
+    }
+    auto const fate = answer_fate ? answer_fate(call) : message_fate();
+    auto const after = delay + delays_.service_time + fate.delay;
+    if (fate.lost || after > call.timeout)
+    {
+        reply.kind = service_reply_kind::failed_after_send;
+        put(call.timeout);
+        return;
+    }
+    reply.kind = service_reply_kind::answered;
+    reply.http_status = answer.http_status;
+    reply.body = answer.body;
+    put(after);
 }
 
 void virtual_deployment::send_table_call(std::size_t daemon,
                                          table_call const &call)
 {
-    at(now_ + delays_.table_service,
-       [this, daemon, call] { deliver_table_call(daemon, call); });
+    at(now_ + delays_.table_service, [this, origin = origin_of(daemon), call]
+       { deliver_table_call(origin, call); });
 }
 
-void virtual_deployment::deliver_table_call(std::size_t daemon,
-                                            table_call const &call)
+table_reply virtual_deployment::apply_table_call(virtual_origin origin,
+                                                 table_call const &call)
 {
+    std::optional<table_outcome> fault;
+    if (table_fault)
+    {
+        fault = table_fault(origin.daemon, call);
+    }
+    if (is_cut(data_centre_of(origin.daemon), "platform"))
+    {
+        fault = table_outcome::unavailable;
+    }
+    bool const lost =
+        fault.value_or(table_outcome::committed) == table_outcome::unknown;
     table_reply reply;
-    reply.operation = call.operation;
-    reply.owner = call.owner;
-    auto const fault = table_fault ? table_fault(daemon, call) : std::nullopt;
-    if (!fault || *fault == table_outcome::unknown)
+    if (lost && late_write)
+    {
+        at(now_ + late_write(), [this, call] { table_.apply(call); });
+    }
+    else if (!fault || lost)
     {
         reply = table_.apply(call);
     }
@@ -345,12 +553,17 @@
         reply.outcome = *fault;
         reply.rows.clear();
     }
-    at(now_ + delays_.table_service,
-       [this, daemon, reply]
-       {
-           daemons_[daemon].state->in.table_replies.push_back(reply);
-           plan_tick(daemon, now_);
-       });
+    return reply;
+}
+
+void virtual_deployment::deliver_table_call(virtual_origin origin,
+                                            table_call const &call)
+{
+    auto reply = apply_table_call(origin, call);
+    reply.operation = call.operation;
+    reply.owner = call.owner;
+    deliver(origin, delays_.table_service,
+            [reply](inbox &in) { in.table_replies.push_back(reply); });
 }
 
 void virtual_deployment::send_order_call(std::size_t daemon,
@@ -358,7 +571,7 @@
 {
     auto const name = call.order.engine;
     at(now_ + delay_to(daemon, engines_.at(name).data_centre),
-       [this, daemon, name, order = call.order]
+       [this, origin = origin_of(daemon), name, order = call.order]
        {
            auto &engine = engines_.at(name);
            order_reply reply;
@@ -366,12 +579,8 @@
            reply.order_id = order.id;
            reply.outcome = engine.reachable ? engine.model->order(order, now_)
                                             : order_outcome::failed_before_send;
-           at(now_ + delays_.within_data_centre,
-              [this, daemon, reply]
-              {
-                  daemons_[daemon].state->in.order_replies.push_back(reply);
-                  plan_tick(daemon, now_);
-              });
+           deliver(origin, delays_.within_data_centre,
+                   [reply](inbox &in) { in.order_replies.push_back(reply); });
        });
 }
 
--- a/harness/virtual_deployment.hpp
+++ b/harness/virtual_deployment.hpp
@@ -14,7 +14,9 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace agateledge
@@ -23,13 +25,43 @@
 /// One daemon of a virtual deployment.
 struct virtual_daemon
 {
+    daemon_identity identity;
     std::unique_ptr<world> state;
     bool alive = true;
     bool paused = false;
+    std::uint64_t incarnation = 1;
     /// Time of the tick that is already planned.
     instant planned_tick = instant::max();
 };
 
+/// Sender of a message, to which the answer goes back. An answer to a daemon
+/// that has been restarted since is lost.
+struct virtual_origin
+{
+    std::size_t daemon = 0;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(virtual_origin const &) const = default;
+};
+
+/// Reader of a stream of an engine.
+struct virtual_reader
+{
+    virtual_origin origin;
+    attempt_number attempt;
+
+    auto operator<=>(virtual_reader const &) const = default;
+};
+
+/// What becomes of one message.
+struct message_fate
+{
+    bool lost = false;
+    bool doubled = false;
+    /// Added to the delay of the message.
+    duration delay{};
+};
+
 /// One engine of a virtual deployment.
 struct virtual_engine
 {
@@ -37,8 +69,7 @@
     std::string data_centre;
     bool reachable = true;
     instant planned_step = instant::max();
-    /// Daemon and attempt that each stream's events go to.
-    std::map<std::string, std::pair<std::size_t, attempt_number>> readers;
+    std::map<std::string, virtual_reader> readers;
 };
 
 /// Delays of a virtual deployment, one way.
@@ -49,6 +80,10 @@
     duration table_service = milliseconds(2);
     duration load_report_interval = milliseconds(200);
     duration load_report_lag = milliseconds(300);
+    /// Time after which a call without an answer counts as failed.
+    duration call_timeout = seconds(2);
+    /// Time that a plain service takes for a call.
+    duration service_time = milliseconds(2);
 };
 
 /// Runs the shipped decision code of a few daemons against the stand-ins in
@@ -78,6 +113,38 @@
     /// Gives a request to a daemon; the answer arrives at `on_reply`.
     void submit(std::size_t daemon, request_arrival arrival);
 
+    /// Tells a daemon that a caller closed its connection.
+    void depart(std::size_t daemon, request_number request);
+
+    /// Ends a daemon at once; what it has not sent is lost.
+    void kill(std::size_t daemon);
+
+    /// Starts a daemon that has ended, as a new incarnation without state.
+    void restart(std::size_t daemon);
+
+    /// Stops a daemon from running; messages to it are kept.
+    void pause(std::size_t daemon);
+    void resume(std::size_t daemon);
+
+    /// Asks a daemon to shut down; `on_stopped` is called when it has ended.
+    void stop(std::size_t daemon);
+
+    /// Loses all state of an engine and breaks its connections.
+    void crash_engine(std::string const &name);
+
+    /// @return true when no message passes between the two data centres;
+    ///         "platform" stands for the platform's services
+    bool is_cut(std::string const &one, std::string const &other) const;
+
+    /// Pairs of data centres between which no message passes.
+    std::set<std::pair<std::string, std::string>> cuts;
+
+    /// Endpoints that refuse connections.
+    std::set<std::string> closed_endpoints;
+
+    /// Configuration that restarted daemons begin with.
+    configuration &config() { return config_; }
+
     instant now() const { return now_; }
     random_source &random() { return random_; }
     std::vector<virtual_daemon> &daemons() { return daemons_; }
@@ -89,6 +156,29 @@
     /// Called with each reply to a caller.
     std::function<void(std::size_t daemon, caller_reply const &)> on_reply;
 
+    /// Called when a daemon has shut down.
+    std::function<void(std::size_t daemon)> on_stopped;
+
+    /// Called when work is sent to an engine or endpoint.
+    std::function<void(std::size_t daemon, std::string const &target)> on_send;
+
+    /// Called when a plain service carries out a call.
+    std::function<void(std::size_t daemon, request_number,
+                       service_call const &)>
+        on_service_effect;
+
+    /// Fate of an engine's event on its way to the daemon.
+    std::function<message_fate(engine_event const &)> event_fate;
+
+    /// Fate of the answer of a plain service.
+    std::function<message_fate(service_call const &)> answer_fate;
+
+    /// Time after which a write with a lost answer takes effect.
+    std::function<duration()> late_write;
+
+    /// Called with a new daemon before its first tick.
+    std::function<void(world &)> on_start;
+
     /// Length of the answer to a request, in tokens; by the request's seed.
     std::function<int(engine_call const &)> output_tokens;
 
@@ -115,18 +205,33 @@
     void plan_tick(std::size_t daemon, instant when);
     void run_tick(std::size_t daemon);
     void carry_out(std::size_t daemon);
+    void start(std::size_t daemon);
+    virtual_origin origin_of(std::size_t daemon) const;
+    std::string const &data_centre_of(std::size_t daemon) const;
+    void deliver(virtual_origin origin, duration delay,
+                 std::function<void(inbox &)> put);
     void send_engine_call(std::size_t daemon, engine_call const &call);
-    void deliver_engine_call(std::size_t daemon, engine_call const &call);
+    void deliver_engine_call(virtual_origin origin, engine_call const &call);
+    void attach_stream(virtual_origin origin, engine_call const &call);
+    void fail_engine_call(virtual_origin origin, engine_call const &call,
+                          engine_event_kind kind, duration delay);
+    void send_attempt_cancel(std::size_t daemon, attempt_cancel const &cancel);
     void send_service_call(std::size_t daemon, service_call const &call);
+    void answer_service_call(virtual_origin origin, request_number request,
+                             service_call const &call,
+                             endpoint_definition const &endpoint);
     void send_table_call(std::size_t daemon, table_call const &call);
-    void deliver_table_call(std::size_t daemon, table_call const &call);
+    void deliver_table_call(virtual_origin origin, table_call const &call);
+    table_reply apply_table_call(virtual_origin origin, table_call const &call);
     void send_order_call(std::size_t daemon, order_call const &call);
     void plan_step(std::string const &engine);
     void advance_engine(std::string const &engine);
     void report_loads();
-    void deliver_event(std::size_t daemon, engine_event event);
+    void deliver_event(std::string const &data_centre, virtual_reader reader,
+                       standin_event event);
     duration delay_to(std::size_t daemon, std::string const &data_centre) const;
 
+    configuration config_;
     random_source random_;
     instant now_{};
     std::uint64_t last_sequence_ = 0;
--- a/src/receive_requests.cpp
+++ b/src/receive_requests.cpp
@@ -122,10 +122,11 @@
         return;
     }
     request->caller_left = true;
-    if (!request->arrival.idempotent)
+    if (may_have_run(w, number))
     {
         return;
     }
+    settle_unanswered(w, number);
     if (request->attempt && request->arrival.service.empty())
     {
         cancel_attempt(w, *w.attempts.find(*request->attempt));
