--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Name of the platform among data centres.
+constexpr char const *platform = "platform";
+
 standin_engine_options options_for(engine_definition const &definition,
                                    std::uint64_t seed)
 {
@@ -26,14 +29,14 @@
     return options;
 }
 
-engine_event to_engine_event(attempt_number attempt, standin_event const &event)
+engine_event to_engine_event(attempt_number attempt, standin_event event)
 {
     engine_event out;
     out.attempt = attempt;
     out.kind = event.kind;
     out.offset = event.offset;
     out.tokens = event.tokens;
-    out.text = event.text;
+    out.text = std::move(event.text);
     out.cached_tokens = event.cached_tokens;
     return out;
 }
@@ -147,8 +150,11 @@
 bool virtual_deployment::is_cut(std::string const &one,
                                 std::string const &other) const
 {
-    return !cuts.empty() &&
-           (cuts.contains({one, other}) || cuts.contains({other, one}));
+    bool const isolated =
+        one != other && other != platform &&
+        (isolated_.contains(one) || isolated_.contains(other));
+    return isolated || cuts.contains({one, other}) ||
+           cuts.contains({other, one});
 }
 
 virtual_origin virtual_deployment::origin_of(std::size_t daemon) const
@@ -188,7 +194,8 @@
         now_ = std::max(now_, end);
         return false;
     }
-    auto const next = queue_.top();
+    // The queue only lends its top; the action is moved out before the pop.
+    auto const next = std::move(const_cast<planned_action &>(queue_.top()));
     queue_.pop();
     now_ = next.when;
     next.action();
@@ -211,19 +218,30 @@
 void virtual_deployment::plan_tick(std::size_t index, instant when)
 {
     auto &daemon = daemons_[index];
-    if (daemon.planned_tick <= when)
+    daemon.planned_tick = std::min(daemon.planned_tick, when);
+    // A queued check that comes earlier plans the later one, so that the queue
+    // does not fill with wake-ups that have been replaced.
+    auto &queued = daemon.queued_checks;
+    if (!queued.empty() && *queued.begin() <= when)
     {
         return;
     }
-    daemon.planned_tick = when;
-    at(when,
-       [this, index, when]
-       {
-           if (daemons_[index].planned_tick == when)
-           {
-               run_tick(index);
-           }
-       });
+    queued.insert(when);
+    at(when, [this, index, when] { check_tick(index, when); });
+}
+
+void virtual_deployment::check_tick(std::size_t index, instant when)
+{
+    auto &daemon = daemons_[index];
+    daemon.queued_checks.erase(when);
+    if (daemon.planned_tick <= when)
+    {
+        run_tick(index);
+    }
+    else if (daemon.planned_tick != instant::max())
+    {
+        plan_tick(index, daemon.planned_tick);
+    }
 }
 
 void virtual_deployment::run_tick(std::size_t index)
@@ -379,14 +397,13 @@
                                        virtual_reader reader,
                                        standin_event event)
 {
-    auto const daemon = reader.origin.daemon;
-    if (is_cut(data_centre_of(daemon), data_centre))
+    auto const message = to_engine_event(reader.attempt, std::move(event));
+    auto const fate = event_fate ? event_fate(message) : message_fate();
+    if (is_cut(data_centre_of(reader.origin.daemon), data_centre))
     {
         return;
     }
-    auto const message = to_engine_event(reader.attempt, event);
-    auto const fate = event_fate ? event_fate(message) : message_fate();
-    auto const delay = delay_to(daemon, data_centre) + fate.delay;
+    auto const delay = delay_to(reader.origin.daemon, data_centre) + fate.delay;
     auto const put = [message](inbox &in)
     { in.engine_events.push_back(message); };
     if (!fate.lost)
@@ -399,6 +416,23 @@
     }
 }
 
+void virtual_deployment::deliver_events(std::string const &data_centre,
+                                        virtual_origin origin,
+                                        std::vector<engine_event> events)
+{
+    if (is_cut(data_centre_of(origin.daemon), data_centre))
+    {
+        return;
+    }
+    // The queue copies its actions, so that the events are shared.
+    auto const batch =
+        std::make_shared<std::vector<engine_event>>(std::move(events));
+    deliver(origin, delay_to(origin.daemon, data_centre),
+            [batch](inbox &in) {
+                std::ranges::move(*batch, std::back_inserter(in.engine_events));
+            });
+}
+
 void virtual_deployment::plan_step(std::string const &name)
 {
     auto &engine = engines_.at(name);
@@ -408,16 +442,22 @@
         return;
     }
     engine.planned_step = *next;
-    at(*next, [this, name] { advance_engine(name); });
+    at(*next,
+       [this, name, when = *next]
+       {
+           auto &planned = engines_.at(name).planned_step;
+           planned = planned == when ? instant::max() : planned;
+           advance_engine(name);
+       });
 }
 
 void virtual_deployment::advance_engine(std::string const &name)
 {
     auto &engine = engines_.at(name);
-    engine.planned_step = instant::max();
     std::vector<standin_event> events;
     engine.model->advance(now_, events);
-    for (auto const &event : events)
+    std::map<virtual_origin, std::vector<engine_event>> by_origin;
+    for (auto &event : events)
     {
         auto const reader = engine.readers.find(event.stream_key);
         if (reader == engine.readers.end())
@@ -425,15 +465,26 @@
             continue;
         }
         auto const target = reader->second;
-        if (event.kind == engine_event_kind::finished)
+        if (event.kind == engine_event_kind::finished ||
+            event.kind == engine_event_kind::prefilled)
         {
             engine.readers.erase(reader);
         }
         if (engine.reachable)
         {
-            deliver_event(engine.data_centre, target, event);
+            if (event_fate)
+            {
+                deliver_event(engine.data_centre, target, event);
+                continue;
+            }
+            by_origin[target.origin].push_back(
+                to_engine_event(target.attempt, std::move(event)));
         }
     }
+    for (auto &[origin, batch] : by_origin)
+    {
+        deliver_events(engine.data_centre, origin, std::move(batch));
+    }
     plan_step(name);
 }
 
@@ -458,10 +509,42 @@
                         { in.load_reports.push_back(report); });
             }
         }
+        report_cache_events(engine);
     }
     at(now_ + delays_.load_report_interval, [this] { report_loads(); });
 }
 
+void virtual_deployment::report_cache_events(virtual_engine &engine)
+{
+    auto events = std::make_shared<std::vector<cache_event>>(
+        engine.model->cache_events_after(engine.cache_sequence));
+    if (events->empty())
+    {
+        return;
+    }
+    engine.cache_sequence = events->back().sequence;
+    if (random_.uniform() < delays_.cache_event_loss)
+    {
+        return;
+    }
+    auto const name = engine.model->options().name;
+    std::ranges::for_each(*events,
+                          [&name](cache_event &event) { event.engine = name; });
+    at(now_ + delays_.load_report_lag,
+       [this, events]
+       {
+           for (auto const &daemon : daemons_)
+           {
+               if (!daemon.alive)
+               {
+                   continue;
+               }
+               auto &in = daemon.state->in.cache_events;
+               in.insert(in.end(), events->begin(), events->end());
+           }
+       });
+}
+
 void virtual_deployment::send_service_call(std::size_t daemon,
                                            service_call const &call)
 {
@@ -533,7 +616,7 @@
     {
         fault = table_fault(origin.daemon, call);
     }
-    if (is_cut(data_centre_of(origin.daemon), "platform"))
+    if (is_cut(data_centre_of(origin.daemon), platform))
     {
         fault = table_outcome::unavailable;
     }
--- a/harness/virtual_deployment.hpp
+++ b/harness/virtual_deployment.hpp
@@ -32,6 +32,8 @@
     std::uint64_t incarnation = 1;
     /// Time of the tick that is already planned.
     instant planned_tick = instant::max();
+    /// Times at which the queue holds a check whether a tick is due.
+    std::set<instant> queued_checks;
 };
 
 /// Sender of a message, to which the answer goes back. An answer to a daemon
@@ -70,6 +72,8 @@
     bool reachable = true;
     instant planned_step = instant::max();
     std::map<std::string, virtual_reader> readers;
+    /// Last cache event that was reported.
+    std::uint64_t cache_sequence = 0;
 };
 
 /// Delays of a virtual deployment, one way.
@@ -84,6 +88,8 @@
     duration call_timeout = seconds(2);
     /// Time that a plain service takes for a call.
     duration service_time = milliseconds(2);
+    /// Share of the batches of cache events that are lost.
+    double cache_event_loss = 0.05;
 };
 
 /// Runs the shipped decision code of a few daemons against the stand-ins in
@@ -152,6 +158,8 @@
     std::map<std::string, standin_service> &services() { return services_; }
     standin_table &table() { return table_; }
     virtual_delays &delays() { return delays_; }
+    /// Data centres that are cut off from the others.
+    std::set<std::string> &isolated() { return isolated_; }
 
     /// Called with each reply to a caller.
     std::function<void(std::size_t daemon, caller_reply const &)> on_reply;
@@ -203,6 +211,7 @@
     };
 
     void plan_tick(std::size_t daemon, instant when);
+    void check_tick(std::size_t daemon, instant when);
     void run_tick(std::size_t daemon);
     void carry_out(std::size_t daemon);
     void start(std::size_t daemon);
@@ -227,8 +236,11 @@
     void plan_step(std::string const &engine);
     void advance_engine(std::string const &engine);
     void report_loads();
+    void report_cache_events(virtual_engine &engine);
     void deliver_event(std::string const &data_centre, virtual_reader reader,
                        standin_event event);
+    void deliver_events(std::string const &data_centre, virtual_origin origin,
+                        std::vector<engine_event> events);
     duration delay_to(std::size_t daemon, std::string const &data_centre) const;
 
     configuration config_;
@@ -239,6 +251,7 @@
                         std::greater<>>
         queue_;
     virtual_delays delays_;
+    std::set<std::string> isolated_;
     std::vector<virtual_daemon> daemons_;
     std::map<std::string, virtual_engine> engines_;
     std::map<std::string, standin_service> services_;
--- a/src/forward_answers.cpp
+++ b/src/forward_answers.cpp
@@ -1,6 +1,7 @@
 #include "forward_answers.hpp"
 
 #include "claim_calls.hpp"
+#include "hand_over_prefill.hpp"
 #include "hedge_calls.hpp"
 #include "request_lifecycle.hpp"
 #include "retry_requests.hpp"
@@ -112,11 +113,13 @@
     case engine_event_kind::finished:
         finish_stream(w, *request, *attempt, event);
         return;
+    case engine_event_kind::prefilled:
+        hand_over_prefill(w, *request, *attempt);
+        return;
     case engine_event_kind::refused:
     case engine_event_kind::failed_before_send:
         lose_attempt(w, *request, event.attempt, attempt_loss::not_started);
         return;
-    case engine_event_kind::prefilled:
     case engine_event_kind::failed_after_send:
         lose_attempt(w, *request, event.attempt, attempt_loss::interrupted);
         return;
--- a/src/request_table.hpp
+++ b/src/request_table.hpp
@@ -48,6 +48,10 @@
     /// Second attempt of a hedged call.
     std::optional<attempt_number> hedge;
     int attempts = 0;
+    /// Engine that holds the prompt's KV cache, and the stream key there; empty
+    /// until a prefill engine has computed it.
+    std::string kv_address;
+    std::string kv_key;
     /// Earliest time of the next attempt.
     instant not_before{};
     /// True when the next attempt repeats work and needs the retry budget.
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -6,6 +6,7 @@
 #include "forward_answers.hpp"
 #include "hedge_calls.hpp"
 #include "internal_assert.hpp"
+#include "plan_role_changes.hpp"
 #include "receive_requests.hpp"
 #include "retry_requests.hpp"
 #include "stop_daemon.hpp"
@@ -30,6 +31,7 @@
     retry_requests(w);
     hedge_calls(w);
     dispatch_requests(w);
+    plan_role_changes(w);
     check_invariants(w);
     w.in = {};
 }
