--- a/harness/fault_schedule.cpp
+++ b/harness/fault_schedule.cpp
@@ -1,6 +1,7 @@
 #include "fault_schedule.hpp"
 
 #include "apply_configuration.hpp"
+#include "configuration_head.hpp"
 #include "internal_assert.hpp"
 #include "virtual_callers.hpp"
 #include "virtual_deployment.hpp"
@@ -66,8 +67,8 @@
             "cut_platform",   "lost_write",      "store_outage",
             "engine_crash",   "slow_engine",     "lagging_reports",
             "event_disorder", "closed_endpoint", "lost_answer",
-            "engine_drain",   "endpoint_drain",  "planned_stop",
-            "reconnect",      "repeat"};
+            "engine_drain",   "endpoint_drain",  "racing_operators",
+            "planned_stop",   "reconnect",       "repeat"};
 }
 
 void fault_schedule::add(std::string const &name, std::uint64_t seed,
@@ -213,7 +214,9 @@
 void fault_schedule::set_draining(std::string const &name, bool draining)
 {
     auto &config = deployment_.config();
-    config.revision = revision_number(config.revision.value() + 1);
+    auto const head = configuration_head_from_text(
+        deployment_.table().row(configuration_head_key).value);
+    config.revision = revision_number(head.revision.value() + 1);
     for (auto &engine : config.engines)
     {
         engine.draining = engine.name == name ? draining : engine.draining;
@@ -223,8 +226,11 @@
         endpoint.draining =
             endpoint.name == name ? draining : endpoint.draining;
     }
+    deployment_.store_configuration();
     for (std::size_t i = 0; i < deployment_.daemons().size(); ++i)
     {
+        // A daemon that hears of nothing else learns of a drain through the
+        // platform's list of leaving hosts, which lags.
         after(up_to(random_, configuration_lag), [this, i, config]
               { put_in_force(*deployment_.daemons()[i].state, config); });
     }
@@ -249,6 +255,21 @@
     return name;
 }
 
+std::string fault_schedule::race_operators(random_source &random)
+{
+    auto const first = pick_daemon(random);
+    auto const second = pick_daemon(random);
+    for (auto const index : {first, second})
+    {
+        // The change keeps the drains, which are set from outside.
+        auto next = deployment_.config();
+        next.revision = deployment_.daemons()[index].state->config.revision;
+        next.policy.retry_share = random.uniform() / 2;
+        deployment_.propose(index, std::move(next));
+    }
+    return std::to_string(first) + " and " + std::to_string(second);
+}
+
 void fault_schedule::check_target(std::string const &target) const
 {
     auto const found = draining_since_.find(target);
@@ -352,6 +373,8 @@
     add("endpoint_drain", seed,
         [this, pick](random_source &random)
         { return drain(random, pick(random)); });
+    add("racing_operators", seed,
+        [this](random_source &random) { return race_operators(random); });
     add("planned_stop", seed,
         [this](random_source &random) { return stop(random); });
 }
--- a/harness/fault_schedule.hpp
+++ b/harness/fault_schedule.hpp
@@ -82,6 +82,7 @@
                     std::string const &other);
     std::string drain(random_source &random, std::string const &name);
     void set_draining(std::string const &name, bool draining);
+    std::string race_operators(random_source &random);
     void check_target(std::string const &target) const;
 
     virtual_deployment &deployment_;
--- a/harness/randomised_run.cpp
+++ b/harness/randomised_run.cpp
@@ -86,6 +86,7 @@
     {
         deployment.on_start(*daemon.state);
     }
+    deployment.store_configuration();
     virtual_callers callers(deployment, example, random());
     fault_schedule faults(deployment, callers, random(), options.without);
     run_result result;
--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -1,7 +1,11 @@
 #include "virtual_deployment.hpp"
 
 #include "apply_configuration.hpp"
+#include "configuration_head.hpp"
+#include "configuration_json.hpp"
+#include "propose_configuration.hpp"
 #include "tick.hpp"
+#include "track_peers.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -81,6 +85,12 @@
         daemon.identity = {name, incarnation_number(1), data_centre, name};
         start(daemons_.size() - 1);
     }
+    for (std::size_t i = 0; i < daemons_.size(); ++i)
+    {
+        add_peers(*daemons_[i].state);
+        plan_tick(i, now_);
+    }
+    at(now_, [this] { report_hosts(); });
     at(now_ + delays_.load_report_interval, [this] { report_loads(); });
 }
 
@@ -91,7 +101,9 @@
     daemon.state = std::make_unique<world>(daemon.identity, random_());
     daemon.state->now = now_;
     daemon.alive = true;
+    daemon.state->initial_config = config_;
     put_in_force(*daemon.state, config_);
+    confirm_revision(*daemon.state, now_);
     if (on_start)
     {
         on_start(*daemon.state);
@@ -108,6 +120,7 @@
 {
     ++daemons_[index].incarnation;
     start(index);
+    add_peers(*daemons_[index].state);
     plan_tick(index, now_);
 }
 
@@ -128,6 +141,29 @@
     plan_tick(index, now_);
 }
 
+void virtual_deployment::store_configuration()
+{
+    configuration_head head;
+    head.revision = config_.revision;
+    head.attempt = "operator";
+    table_call call;
+    call.puts = {
+        {configuration_head_key, configuration_head_to_text(head)},
+        {revision_key(config_.revision), configuration_to_json(config_)}};
+    table_.apply(call);
+}
+
+void virtual_deployment::propose(std::size_t index, configuration next)
+{
+    auto &daemon = daemons_[index];
+    if (daemon.alive && !daemon.paused)
+    {
+        propose_configuration(*daemon.state, std::move(next),
+                              operator_call_number(++last_sequence_));
+        plan_tick(index, now_);
+    }
+}
+
 void virtual_deployment::depart(std::size_t index, request_number request)
 {
     daemons_[index].state->in.departures.push_back({request});
@@ -281,6 +317,18 @@
                           { send_table_call(index, call); });
     std::ranges::for_each(out.order_calls, [&](order_call const &call)
                           { send_order_call(index, call); });
+    for (auto const &reply : out.operator_replies)
+    {
+        if (on_operator_reply)
+        {
+            on_operator_reply(index, reply);
+        }
+    }
+    std::ranges::for_each(out.peer_calls, [&](peer_call const &call)
+                          { send_peer_call(index, call); });
+    std::ranges::for_each(out.configuration_fetches,
+                          [&](configuration_fetch const &fetch)
+                          { send_configuration_fetch(index, fetch); });
     if (out.stop_ready)
     {
         daemons_[index].alive = false;
@@ -623,11 +671,12 @@
     bool const lost =
         fault.value_or(table_outcome::committed) == table_outcome::unknown;
     table_reply reply;
-    if (lost && late_write)
+    bool const write_lost = lost && table_loses && table_loses(call);
+    if (lost && !write_lost && late_write)
     {
         at(now_ + late_write(), [this, call] { table_.apply(call); });
     }
-    else if (!fault || lost)
+    else if (!fault || (lost && !write_lost))
     {
         reply = table_.apply(call);
     }
@@ -652,19 +701,141 @@
 void virtual_deployment::send_order_call(std::size_t daemon,
                                          order_call const &call)
 {
-    auto const name = call.order.engine;
-    at(now_ + delay_to(daemon, engines_.at(name).data_centre),
-       [this, origin = origin_of(daemon), name, order = call.order]
-       {
-           auto &engine = engines_.at(name);
-           order_reply reply;
-           reply.engine = name;
-           reply.order_id = order.id;
-           reply.outcome = engine.reachable ? engine.model->order(order, now_)
-                                            : order_outcome::failed_before_send;
-           deliver(origin, delays_.within_data_centre,
-                   [reply](inbox &in) { in.order_replies.push_back(reply); });
-       });
+    auto const delay =
+        delay_to(daemon, engines_.at(call.order.engine).data_centre);
+    auto const copies = order_copies ? order_copies(call.order)
+                                     : std::vector<duration>{duration(0)};
+    for (auto const extra : copies)
+    {
+        at(now_ + delay + extra,
+           [this, origin = origin_of(daemon), order = call.order]
+           { deliver_order(origin, order); });
+    }
+}
+
+void virtual_deployment::deliver_order(virtual_origin origin,
+                                       engine_order const &order)
+{
+    auto &engine = engines_.at(order.engine);
+    order_reply reply;
+    reply.engine = order.engine;
+    reply.order_id = order.id;
+    reply.outcome = engine.reachable ? engine.model->order(order, now_)
+                                     : order_outcome::failed_before_send;
+    if (on_order)
+    {
+        on_order(order, reply.outcome);
+    }
+    deliver(origin, delays_.within_data_centre,
+            [reply](inbox &in) { in.order_replies.push_back(reply); });
+}
+
+void virtual_deployment::add_peers(world &w)
+{
+    for (auto const &peer : daemons_)
+    {
+        auto const &identity = peer.identity;
+        agateledge::add_peer(w, identity.name, identity.address,
+                             identity.data_centre);
+    }
+}
+
+std::optional<std::size_t>
+virtual_deployment::find_daemon(std::string const &name) const
+{
+    auto const found =
+        std::ranges::find_if(daemons_, [&name](virtual_daemon const &daemon)
+                             { return daemon.identity.name == name; });
+    return found == daemons_.end()
+               ? std::nullopt
+               : std::optional<std::size_t>(found - daemons_.begin());
+}
+
+bool virtual_deployment::reaches(std::size_t from, std::size_t to) const
+{
+    return daemons_[from].alive && daemons_[to].alive && !daemons_[to].paused &&
+           !is_cut(data_centre_of(from), data_centre_of(to)) &&
+           (!daemon_reachable || daemon_reachable(from, to));
+}
+
+void virtual_deployment::send_peer_call(std::size_t daemon,
+                                        peer_call const &call)
+{
+    auto const peer = find_daemon(call.peer);
+    if (!peer || !reaches(daemon, *peer))
+    {
+        fail_peer_call(origin_of(daemon), call.peer);
+        return;
+    }
+    at(now_ + delay_to(daemon, data_centre_of(*peer)),
+       [this, origin = origin_of(daemon), peer = *peer, message = call.message]
+       { answer_peer_call(origin, peer, message); });
+}
+
+void virtual_deployment::answer_peer_call(virtual_origin origin,
+                                          std::size_t peer,
+                                          heartbeat const &message)
+{
+    if (!daemons_[peer].alive || daemons_[peer].paused)
+    {
+        fail_peer_call(origin, daemons_[peer].identity.name);
+        return;
+    }
+    daemons_[peer].state->in.heartbeats.push_back(message);
+    plan_tick(peer, now_);
+    if (!reaches(peer, origin.daemon))
+    {
+        fail_peer_call(origin, daemons_[peer].identity.name);
+        return;
+    }
+    auto const reply =
+        own_heartbeat(*daemons_[peer].state, now_, message.sequence);
+    deliver(origin, delay_to(peer, data_centre_of(origin.daemon)),
+            [reply](inbox &in) { in.heartbeats.push_back(reply); });
+}
+
+void virtual_deployment::fail_peer_call(virtual_origin origin,
+                                        std::string const &peer)
+{
+    deliver(origin, delays_.peer_call_timeout,
+            [peer](inbox &in) { in.peer_failures.push_back({peer}); });
+}
+
+void virtual_deployment::send_configuration_fetch(
+    std::size_t daemon, configuration_fetch const &fetch)
+{
+    auto const peer = find_daemon(fetch.peer);
+    auto const origin = origin_of(daemon);
+    if (!peer || !reaches(daemon, *peer) || !reaches(*peer, daemon))
+    {
+        fail_peer_call(origin, fetch.peer);
+        return;
+    }
+    auto &state = *daemons_[*peer].state;
+    configuration_document document;
+    document.from = state.identity.name;
+    document.document = configuration_to_json(state.config);
+    document.revision_age_us = own_heartbeat(state, now_).revision_age_us;
+    deliver(origin, delay_to(daemon, data_centre_of(*peer)) * 2,
+            [document](inbox &in)
+            { in.configuration_documents.push_back(document); });
+}
+
+void virtual_deployment::report_hosts()
+{
+    if (!hosts_.empty())
+    {
+        for (std::size_t i = 0; i < daemons_.size(); ++i)
+        {
+            if (!is_cut(data_centre_of(i), platform))
+            {
+                deliver(origin_of(i), duration(0),
+                        [this](inbox &in)
+                        { in.membership_reports.push_back({hosts_}); });
+            }
+        }
+    }
+    at(now_ + delays_.host_report_interval, [this] { report_hosts(); });
 }
 
 } // namespace agateledge
--- a/src/dispatch_requests.cpp
+++ b/src/dispatch_requests.cpp
@@ -1,5 +1,6 @@
 #include "dispatch_requests.hpp"
 
+#include "apply_configuration.hpp"
 #include "claim_calls.hpp"
 #include "hedge_calls.hpp"
 #include "request_lifecycle.hpp"
@@ -123,6 +124,17 @@
     {
         return false;
     }
+    if (!request.arrival.idempotent && configuration_pending(w))
+    {
+        return false;
+    }
+    if (!request.arrival.idempotent && configuration_stale(w))
+    {
+        refuse_request(w, request.arrival.request,
+                       result_code::configuration_stale,
+                       "the revision in force is not confirmed");
+        return true;
+    }
     if (!request.arrival.idempotent && !holds_claim(w, request))
     {
         begin_claim(w, request);
--- a/src/stop_daemon.cpp
+++ b/src/stop_daemon.cpp
@@ -1,6 +1,7 @@
 #include "stop_daemon.hpp"
 
 #include "claim_calls.hpp"
+#include "renew_leases.hpp"
 #include "request_lifecycle.hpp"
 #include "world.hpp"
 
@@ -48,25 +49,26 @@
 
 void stop_daemon(world &w)
 {
-    if (w.in.shutdown && !w.draining)
+    if (w.in.shutdown && !w.draining_since)
     {
         w.draining = true;
         w.draining_since = w.now;
     }
-    if (!w.draining)
+    if (!w.draining_since)
     {
         return;
     }
     wake_at(w, w.now + check_interval);
     auto const timeout = w.config.policy.drain_timeout;
-    if (w.now - w.draining_since >= timeout)
+    if (w.now - *w.draining_since >= timeout)
     {
         hand_over_requests(w);
     }
     bool const stored =
-        w.claims.size() == 0 || w.now - w.draining_since >= 2 * timeout;
+        w.claims.size() == 0 || w.now - *w.draining_since >= 2 * timeout;
     w.out.stop_ready =
-        (w.requests.size() == 0 && stored) || w.faults.skip_drain;
+        (w.requests.size() == 0 && stored && leases_released(w)) ||
+        w.faults.skip_drain;
 }
 
 } // namespace agateledge
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -6,6 +6,7 @@
 #include "candidate_index.hpp"
 #include "claim_table.hpp"
 #include "configuration.hpp"
+#include "configuration_state.hpp"
 #include "cost_table.hpp"
 #include "counters.hpp"
 #include "daemon_identity.hpp"
@@ -57,6 +58,9 @@
     std::optional<instant> next_wake;
     /// Revision in force.
     configuration config;
+    /// Written as the first revision when the table service has none.
+    std::optional<configuration> initial_config;
+    configuration_state config_sync;
     engine_table engines;
     candidate_index candidates;
     endpoint_table endpoints;
@@ -88,7 +92,8 @@
     decision_hooks hooks;
     /// True from the shutdown request on.
     bool draining = false;
-    instant draining_since{};
+    /// Time of the shutdown request.
+    std::optional<instant> draining_since;
     std::uint64_t last_operation = 0;
     inbox in;
     outbox out;
