--- a/harness/bench_run.cpp
+++ b/harness/bench_run.cpp
@@ -119,8 +119,8 @@
     auto &engine = deployment_.engines().at(name);
     for (auto reader = engine.readers.begin(); reader != engine.readers.end();)
     {
-        auto const [daemon, attempt] = reader->second;
-        auto &state = *deployment_.daemons()[daemon].state;
+        auto const [origin, attempt] = reader->second;
+        auto &state = *deployment_.daemons()[origin.daemon].state;
         if (only_remote && state.identity.data_centre == engine.data_centre)
         {
             ++reader;
--- a/src/dispatch_requests.cpp
+++ b/src/dispatch_requests.cpp
@@ -2,7 +2,9 @@
 
 #include "apply_configuration.hpp"
 #include "claim_calls.hpp"
+#include "hedge_calls.hpp"
 #include "request_lifecycle.hpp"
+#include "retry_requests.hpp"
 #include "select_endpoint.hpp"
 #include "select_engine.hpp"
 #include "world.hpp"
@@ -16,10 +18,6 @@
 namespace
 {
 
-/// Time after which a plain service's call counts as failed, when the class
-/// has no finish deadline.
-constexpr duration default_call_timeout = seconds(10);
-
 /// Waiting time that outweighs one level of priority. A full-manual question
 /// at the third level passes new urgent requests after 30 s.
 constexpr duration ageing_per_priority = seconds(15);
@@ -42,8 +40,12 @@
     call.stream_key = attempt.stream_key;
     call.model = arrival.model;
     call.body = arrival.body;
-    call.generated_text = request.delivered_text;
-    call.generated_tokens = request.delivered_tokens;
+    call.generated_tokens = attempt.next_offset;
+    if (call.generated_tokens > 0 && !attempt.attached)
+    {
+        call.generated_text = request.delivered_text;
+    }
+    call.attach = attempt.attached;
     call.prompt_tokens = arrival.prompt_tokens;
     call.prefix_hashes = arrival.prefix_hashes;
     call.prefix_block_tokens = arrival.prefix_block_tokens;
@@ -68,6 +70,21 @@
     w.out.caller_replies.push_back(std::move(reply));
 }
 
+/// @return true when the request is sent to the engine of its running stream
+bool attach_to_engine(world &w, request_state &request)
+{
+    auto const stream = std::exchange(request.reattach, std::nullopt);
+    auto const engine = w.engines.find(stream->engine);
+    if (!engine || !w.engines.at(*engine).configured)
+    {
+        return false;
+    }
+    auto const &attempt = begin_attached_attempt(w, request, *engine, *stream);
+    announce(w, request, attempt);
+    w.out.engine_calls.push_back(make_call(w, request, attempt));
+    return true;
+}
+
 /// A prefill engine hands the prompt's KV cache over, unless no engine of the
 /// service generates or part of the answer exists already.
 bool runs_prefill_only(world const &w, request_state const &request,
@@ -80,8 +97,12 @@
 
 bool send_to_engine(world &w, request_state &request)
 {
+    if (request.reattach && attach_to_engine(w, request))
+    {
+        return true;
+    }
     auto const engine = select_engine(w, request);
-    if (!engine)
+    if (!engine || !may_start_attempt(w, request))
     {
         return false;
     }
@@ -103,19 +124,27 @@
     {
         return false;
     }
-    auto const &attempt = begin_service_attempt(w, request, *endpoint);
-    auto const &definition = w.endpoints.at(*endpoint).definition;
-    auto const deadline = request.kind.finish_deadline;
-    service_call call;
-    call.attempt = attempt.attempt;
-    call.endpoint = definition.name;
-    call.address = definition.address;
-    call.method = request.arrival.method;
-    call.path = request.arrival.path;
-    call.body = request.arrival.body;
-    call.idempotency_key = request.arrival.idempotency_key;
-    call.timeout = deadline.count() > 0 ? deadline : default_call_timeout;
-    w.out.service_calls.push_back(std::move(call));
+    if (!request.arrival.idempotent && configuration_pending(w))
+    {
+        return false;
+    }
+    if (!request.arrival.idempotent && configuration_stale(w))
+    {
+        refuse_request(w, request.arrival.request,
+                       result_code::configuration_stale,
+                       "the revision in force is not confirmed");
+        return true;
+    }
+    if (!request.arrival.idempotent && !holds_claim(w, request))
+    {
+        begin_claim(w, request);
+        return true;
+    }
+    if (!may_start_attempt(w, request))
+    {
+        return false;
+    }
+    call_endpoint(w, request, *endpoint);
     return true;
 }
 
@@ -125,20 +154,9 @@
     {
         return send_to_engine(w, request);
     }
-    if (!request.arrival.idempotent && !holds_claim(w, request))
+    if (asks_for_outcome(request.arrival))
     {
-        if (configuration_pending(w))
-        {
-            return false;
-        }
-        if (configuration_stale(w))
-        {
-            refuse_request(w, request.arrival.request,
-                           result_code::configuration_stale,
-                           "the revision in force is not confirmed");
-            return true;
-        }
-        begin_claim(w, request);
+        begin_outcome_query(w, request);
         return true;
     }
     return send_to_endpoint(w, request);
@@ -148,7 +166,8 @@
 instant expiry_of(request_state const &request)
 {
     auto const deadline = request.kind.finish_deadline;
-    bool const bounded = deadline.count() > 0 && !request.kind.may_wait;
+    bool const bounded =
+        deadline.count() > 0 && !request.kind.may_wait && !request.accepted;
     return bounded ? request.arrived_at + deadline : instant::max();
 }
 
@@ -164,14 +183,26 @@
     return request.kind.service + phase;
 }
 
+/// Keeps a request out of its lane until its next attempt may start.
+void defer(world &w, request_state const &request)
+{
+    w.deferred.add(request.not_before, request.arrival.request);
+}
+
 void enqueue(world &w, request_number number)
 {
     auto const *request = w.requests.find(number);
-    if (request != nullptr && request->phase == request_phase::waiting)
+    if (request == nullptr || request->phase != request_phase::waiting)
+    {
+        return;
+    }
+    if (request->not_before > w.now)
     {
-        w.queue.add(number, lane_of(*request), rank_of(w, *request),
-                    expiry_of(*request));
+        defer(w, *request);
+        return;
     }
+    w.queue.add(number, lane_of(*request), rank_of(w, *request),
+                expiry_of(*request));
 }
 
 void refuse_expired(world &w)
@@ -183,9 +214,12 @@
         {
             continue;
         }
+        // A non-idempotent call that waits has not been sent.
+        bool const not_run =
+            request->attempts == 0 || !request->arrival.idempotent;
         refuse_request(w, number,
-                       request->attempts == 0 ? result_code::no_endpoint
-                                              : result_code::deadline_exceeded,
+                       not_run ? result_code::no_endpoint
+                               : result_code::deadline_exceeded,
                        "nothing took the request before its deadline");
     }
 }
@@ -198,12 +232,21 @@
     {
         return true;
     }
+    if (dispatch(w, *request))
+    {
+        return true;
+    }
+    request = w.requests.find(number);
+    if (request == nullptr)
+    {
+        return true;
+    }
     if (request->not_before > w.now)
     {
-        wake_at(w, request->not_before);
-        return false;
+        defer(w, *request);
+        return true;
     }
-    return dispatch(w, *request);
+    return false;
 }
 
 /// Sends the requests at the head of a lane until some find no room.
@@ -233,6 +276,10 @@
 {
     std::ranges::for_each(std::exchange(w.waiting, {}),
                           [&w](request_number number) { enqueue(w, number); });
+    while (auto const number = w.deferred.take(w.now))
+    {
+        enqueue(w, *number);
+    }
     refuse_expired(w);
     for (auto &[name, lane] : w.queue.lanes())
     {
@@ -253,6 +300,10 @@
     {
         wake_at(w, w.queue.next_expiry());
     }
+    if (auto const next = w.deferred.next())
+    {
+        wake_at(w, *next);
+    }
 }
 
 } // namespace agateledge
--- a/src/move_open_work.cpp
+++ b/src/move_open_work.cpp
@@ -29,6 +29,7 @@
         w.out.attempt_cancels.push_back(
             {number, definition.name, definition.address, attempt->stream_key});
         end_attempt(w, number);
+        request->reattach.reset();
         requeue_request(w, *request);
     }
 }
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -73,8 +73,9 @@
         }
     };
     auto const matches = [&key](sequence const &item)
-    { return item.work.stream_key == key; };
-    if (auto const done = finished_.find(key); done != finished_.end())
+    { return item.work.stream_key == key && !item.work.prefill_only; };
+    if (auto const done = finished_.find(key);
+        done != finished_.end() && !done->second.prefill_only)
     {
         append(done->second, done->second.output_tokens);
         events.push_back(make_event(done->second, engine_event_kind::finished,
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -12,11 +12,13 @@
 #include "daemon_identity.hpp"
 #include "decision_hooks.hpp"
 #include "dispatch_queue.hpp"
+#include "due_queue.hpp"
 #include "endpoint_table.hpp"
 #include "engine_table.hpp"
 #include "fault_switches.hpp"
 #include "ids.hpp"
 #include "inbox.hpp"
+#include "latency_window.hpp"
 #include "lease_table.hpp"
 #include "order_table.hpp"
 #include "outbox.hpp"
@@ -24,11 +26,14 @@
 #include "query_table.hpp"
 #include "random_source.hpp"
 #include "request_table.hpp"
+#include "retry_budget.hpp"
 #include "time.hpp"
 #include "usage_table.hpp"
 
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace agateledge
 {
@@ -65,7 +70,16 @@
     /// moves them to `queue`.
     std::deque<request_number> waiting;
     dispatch_queue queue;
+    /// Waiting requests by the time at which they may be dispatched.
+    due_queue<request_number> deferred;
     claim_table claims;
+    retry_budget retries;
+    /// Idempotent plain calls by the time at which they are hedged.
+    due_queue<request_number> hedges;
+    /// Observed latencies by plain service.
+    std::map<std::string, latency_window> call_latencies;
+    /// Time of the next look at engines that are being emptied.
+    instant next_drain_check{};
     lease_table leases;
     order_table orders;
     peer_table peers;
@@ -78,6 +92,8 @@
     decision_hooks hooks;
     /// True from the shutdown request on.
     bool draining = false;
+    /// Time of the shutdown request.
+    std::optional<instant> draining_since;
     std::uint64_t last_operation = 0;
     inbox in;
     outbox out;
