--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -1,7 +1,9 @@
 #include "virtual_deployment.hpp"
 
 #include "apply_configuration.hpp"
+#include "configuration_head.hpp"
 #include "configuration_json.hpp"
+#include "propose_configuration.hpp"
 #include "tick.hpp"
 #include "track_peers.hpp"
 
@@ -14,6 +16,9 @@
 namespace
 {
 
+/// Name of the platform among data centres.
+constexpr char const *platform = "platform";
+
 standin_engine_options options_for(engine_definition const &definition,
                                    std::uint64_t seed)
 {
@@ -64,7 +69,7 @@
 virtual_deployment::virtual_deployment(configuration const &config,
                                        std::vector<std::string> const &daemons,
                                        std::uint64_t seed)
-    : random_(seed)
+    : config_(config), random_(seed)
 {
     for (auto const &definition : config.engines)
     {
@@ -77,19 +82,142 @@
     {
         auto const name = "daemon-" + std::to_string(daemons_.size());
         auto &daemon = daemons_.emplace_back();
-        daemon.state = std::make_unique<world>(
-            daemon_identity{name, incarnation_number(1), data_centre, name},
-            random_());
-        daemon.state->initial_config = config;
-        put_in_force(*daemon.state, config);
-        confirm_revision(*daemon.state, now_);
-        plan_tick(daemons_.size() - 1, now_);
-    }
-    add_peers();
+        daemon.identity = {name, incarnation_number(1), data_centre, name};
+        start(daemons_.size() - 1);
+    }
+    for (std::size_t i = 0; i < daemons_.size(); ++i)
+    {
+        add_peers(*daemons_[i].state);
+        plan_tick(i, now_);
+    }
     at(now_, [this] { report_hosts(); });
     at(now_ + delays_.load_report_interval, [this] { report_loads(); });
 }
 
+void virtual_deployment::start(std::size_t index)
+{
+    auto &daemon = daemons_[index];
+    daemon.identity.incarnation = incarnation_number(daemon.incarnation);
+    daemon.state = std::make_unique<world>(daemon.identity, random_());
+    daemon.state->now = now_;
+    daemon.alive = true;
+    daemon.state->initial_config = config_;
+    put_in_force(*daemon.state, config_);
+    confirm_revision(*daemon.state, now_);
+    if (on_start)
+    {
+        on_start(*daemon.state);
+    }
+}
+
+void virtual_deployment::kill(std::size_t index)
+{
+    daemons_[index].alive = false;
+    daemons_[index].paused = false;
+}
+
+void virtual_deployment::restart(std::size_t index)
+{
+    ++daemons_[index].incarnation;
+    start(index);
+    add_peers(*daemons_[index].state);
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::pause(std::size_t index)
+{
+    daemons_[index].paused = true;
+}
+
+void virtual_deployment::resume(std::size_t index)
+{
+    daemons_[index].paused = false;
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::stop(std::size_t index)
+{
+    daemons_[index].state->in.shutdown = true;
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::store_configuration()
+{
+    configuration_head head;
+    head.revision = config_.revision;
+    head.attempt = "operator";
+    table_call call;
+    call.puts = {
+        {configuration_head_key, configuration_head_to_text(head)},
+        {revision_key(config_.revision), configuration_to_json(config_)}};
+    table_.apply(call);
+}
+
+void virtual_deployment::propose(std::size_t index, configuration next)
+{
+    auto &daemon = daemons_[index];
+    if (daemon.alive && !daemon.paused)
+    {
+        propose_configuration(*daemon.state, std::move(next),
+                              operator_call_number(++last_sequence_));
+        plan_tick(index, now_);
+    }
+}
+
+void virtual_deployment::depart(std::size_t index, request_number request)
+{
+    daemons_[index].state->in.departures.push_back({request});
+    plan_tick(index, now_);
+}
+
+void virtual_deployment::crash_engine(std::string const &name)
+{
+    advance_engine(name);
+    auto &engine = engines_.at(name);
+    engine.model->crash(now_);
+    for (auto const &[key, reader] : std::exchange(engine.readers, {}))
+    {
+        standin_event event;
+        event.kind = engine_event_kind::failed_after_send;
+        deliver_event(engine.data_centre, reader, event);
+    }
+}
+
+bool virtual_deployment::is_cut(std::string const &one,
+                                std::string const &other) const
+{
+    bool const isolated =
+        one != other && other != platform &&
+        (isolated_.contains(one) || isolated_.contains(other));
+    return isolated || cuts.contains({one, other}) ||
+           cuts.contains({other, one});
+}
+
+virtual_origin virtual_deployment::origin_of(std::size_t daemon) const
+{
+    return {daemon, daemons_[daemon].incarnation};
+}
+
+std::string const &virtual_deployment::data_centre_of(std::size_t daemon) const
+{
+    return daemons_[daemon].identity.data_centre;
+}
+
+void virtual_deployment::deliver(virtual_origin origin, duration delay,
+                                 std::function<void(inbox &)> put)
+{
+    at(now_ + delay,
+       [this, origin, put = std::move(put)]
+       {
+           auto &daemon = daemons_[origin.daemon];
+           if (daemon.alive && daemon.incarnation == origin.incarnation)
+           {
+               put(daemon.state->in);
+               plan_tick(origin.daemon, now_);
+           }
+       });
+}
+
 void virtual_deployment::at(instant when, std::function<void()> action)
 {
     queue_.push({std::max(when, now_), ++last_sequence_, std::move(action)});
@@ -162,7 +290,7 @@
     }
     tick(*daemon.state, now_);
     carry_out(index);
-    if (daemon.state->next_wake)
+    if (daemon.alive && daemon.state->next_wake)
     {
         plan_tick(index,
                   std::max(*daemon.state->next_wake, now_ + microseconds(1)));
@@ -181,13 +309,8 @@
     }
     std::ranges::for_each(out.engine_calls, [&](engine_call const &call)
                           { send_engine_call(index, call); });
-    for (auto const &cancel : out.attempt_cancels)
-    {
-        auto const name = cancel.engine;
-        at(now_ + delay_to(index, engines_.at(name).data_centre),
-           [this, name, key = cancel.stream_key]
-           { engines_.at(name).model->cancel(key); });
-    }
+    std::ranges::for_each(out.attempt_cancels, [&](attempt_cancel const &cancel)
+                          { send_attempt_cancel(index, cancel); });
     std::ranges::for_each(out.service_calls, [&](service_call const &call)
                           { send_service_call(index, call); });
     std::ranges::for_each(out.table_calls, [&](table_call const &call)
@@ -206,93 +329,156 @@
     std::ranges::for_each(out.configuration_fetches,
                           [&](configuration_fetch const &fetch)
                           { send_configuration_fetch(index, fetch); });
+    if (out.stop_ready)
+    {
+        daemons_[index].alive = false;
+        if (on_stopped)
+        {
+            on_stopped(index);
+        }
+    }
 }
 
 duration virtual_deployment::delay_to(std::size_t daemon,
                                       std::string const &data_centre) const
 {
-    return daemons_[daemon].state->identity.data_centre == data_centre
-               ? delays_.within_data_centre
-               : delays_.between_data_centres;
+    return data_centre_of(daemon) == data_centre ? delays_.within_data_centre
+                                                 : delays_.between_data_centres;
 }
 
 void virtual_deployment::send_engine_call(std::size_t daemon,
                                           engine_call const &call)
 {
+    if (on_send && !call.attach)
+    {
+        on_send(daemon, call.engine);
+    }
     at(now_ + delay_to(daemon, engines_.at(call.engine).data_centre),
-       [this, daemon, call] { deliver_engine_call(daemon, call); });
+       [this, origin = origin_of(daemon), call]
+       { deliver_engine_call(origin, call); });
+}
+
+void virtual_deployment::fail_engine_call(virtual_origin origin,
+                                          engine_call const &call,
+                                          engine_event_kind kind,
+                                          duration delay)
+{
+    engine_event event;
+    event.attempt = call.attempt;
+    event.kind = kind;
+    deliver(origin, delay,
+            [event](inbox &in) { in.engine_events.push_back(event); });
 }
 
-void virtual_deployment::deliver_engine_call(std::size_t daemon,
+void virtual_deployment::deliver_engine_call(virtual_origin origin,
                                              engine_call const &call)
 {
     auto &engine = engines_.at(call.engine);
-    engine_event failure;
-    failure.attempt = call.attempt;
-    if (!reachable(daemon, call.engine))
+    auto const delay = delay_to(origin.daemon, engine.data_centre);
+    bool const cut = is_cut(data_centre_of(origin.daemon), engine.data_centre);
+    if (!engine.reachable || cut)
     {
-        failure.kind = engine_event_kind::failed_before_send;
-        deliver_event(daemon, failure);
+        fail_engine_call(origin, call, engine_event_kind::failed_before_send,
+                         cut ? delays_.call_timeout : delay);
         return;
     }
     advance_engine(call.engine);
+    if (call.attach)
+    {
+        attach_stream(origin, call);
+        return;
+    }
     auto const length = output_tokens ? output_tokens(call)
                                       : std::max(1, call.max_output_tokens);
     if (!engine.model->start(to_work(call, length), now_))
     {
-        failure.kind = engine_event_kind::refused;
-        deliver_event(daemon, failure);
+        fail_engine_call(origin, call, engine_event_kind::refused, delay);
         return;
     }
-    engine.readers[call.stream_key] = {daemon, call.attempt};
+    engine.readers[call.stream_key] = {origin, call.attempt};
     plan_step(call.engine);
 }
 
-void virtual_deployment::deliver_event(std::size_t daemon, engine_event event)
+void virtual_deployment::attach_stream(virtual_origin origin,
+                                       engine_call const &call)
+{
+    auto &engine = engines_.at(call.engine);
+    auto const events =
+        engine.model->replay(call.stream_key, call.generated_tokens);
+    if (!events)
+    {
+        fail_engine_call(origin, call, engine_event_kind::refused,
+                         delay_to(origin.daemon, engine.data_centre));
+        return;
+    }
+    virtual_reader const reader{origin, call.attempt};
+    engine.readers[call.stream_key] = reader;
+    std::ranges::for_each(*events,
+                          [&](standin_event const &event) {
+                              deliver_event(engine.data_centre, reader, event);
+                          });
+}
+
+void virtual_deployment::send_attempt_cancel(std::size_t daemon,
+                                             attempt_cancel const &cancel)
 {
-    at(now_ + delays_.within_data_centre,
-       [this, daemon, event = std::move(event)]
+    virtual_reader const reader{origin_of(daemon), cancel.attempt};
+    auto const data_centre = engines_.at(cancel.engine).data_centre;
+    if (is_cut(data_centre_of(daemon), data_centre))
+    {
+        return;
+    }
+    at(now_ + delay_to(daemon, data_centre),
+       [this, reader, cancel]
        {
-           if (!daemons_[daemon].alive)
+           auto &engine = engines_.at(cancel.engine);
+           auto const found = engine.readers.find(cancel.stream_key);
+           if (found != engine.readers.end() && found->second == reader)
            {
-               return;
+               engine.readers.erase(found);
+               engine.model->cancel(cancel.stream_key);
            }
-           daemons_[daemon].state->in.engine_events.push_back(event);
-           plan_tick(daemon, now_);
        });
 }
 
-void virtual_deployment::deliver_events(std::size_t daemon,
+void virtual_deployment::deliver_event(std::string const &data_centre,
+                                       virtual_reader reader,
+                                       standin_event event)
+{
+    auto const message = to_engine_event(reader.attempt, std::move(event));
+    auto const fate = event_fate ? event_fate(message) : message_fate();
+    if (is_cut(data_centre_of(reader.origin.daemon), data_centre))
+    {
+        return;
+    }
+    auto const delay = delay_to(reader.origin.daemon, data_centre) + fate.delay;
+    auto const put = [message](inbox &in)
+    { in.engine_events.push_back(message); };
+    if (!fate.lost)
+    {
+        deliver(reader.origin, delay, put);
+    }
+    if (fate.doubled)
+    {
+        deliver(reader.origin, delay * 2, put);
+    }
+}
+
+void virtual_deployment::deliver_events(std::string const &data_centre,
+                                        virtual_origin origin,
                                         std::vector<engine_event> events)
 {
-    if (events.empty())
+    if (is_cut(data_centre_of(origin.daemon), data_centre))
     {
         return;
     }
     // The queue copies its actions, so that the events are shared.
     auto const batch =
         std::make_shared<std::vector<engine_event>>(std::move(events));
-    at(now_ + delays_.within_data_centre,
-       [this, daemon, batch]
-       {
-           if (!daemons_[daemon].alive)
-           {
-               return;
-           }
-           auto &in = daemons_[daemon].state->in.engine_events;
-           std::ranges::move(*batch, std::back_inserter(in));
-           plan_tick(daemon, now_);
-       });
-}
-
-bool virtual_deployment::reachable(std::size_t daemon,
-                                   std::string const &engine) const
-{
-    auto const &target = engines_.at(engine);
-    auto const &from = daemons_[daemon].state->identity.data_centre;
-    bool const cut =
-        isolated_.contains(from) || isolated_.contains(target.data_centre);
-    return target.reachable && (!cut || from == target.data_centre);
+    deliver(origin, delay_to(origin.daemon, data_centre),
+            [batch](inbox &in) {
+                std::ranges::move(*batch, std::back_inserter(in.engine_events));
+            });
 }
 
 void virtual_deployment::plan_step(std::string const &name)
@@ -318,7 +504,7 @@
     auto &engine = engines_.at(name);
     std::vector<standin_event> events;
     engine.model->advance(now_, events);
-    std::vector<std::vector<engine_event>> by_daemon(daemons_.size());
+    std::map<virtual_origin, std::vector<engine_event>> by_origin;
     for (auto &event : events)
     {
         auto const reader = engine.readers.find(event.stream_key);
@@ -326,21 +512,26 @@
         {
             continue;
         }
-        auto const [daemon, attempt] = reader->second;
+        auto const target = reader->second;
         if (event.kind == engine_event_kind::finished ||
             event.kind == engine_event_kind::prefilled)
         {
             engine.readers.erase(reader);
         }
-        if (reachable(daemon, name))
+        if (engine.reachable)
         {
-            by_daemon[daemon].push_back(
-                to_engine_event(attempt, std::move(event)));
+            if (event_fate)
+            {
+                deliver_event(engine.data_centre, target, event);
+                continue;
+            }
+            by_origin[target.origin].push_back(
+                to_engine_event(target.attempt, std::move(event)));
         }
     }
-    for (std::size_t i = 0; i < by_daemon.size(); ++i)
+    for (auto &[origin, batch] : by_origin)
     {
-        deliver_events(i, std::move(by_daemon[i]));
+        deliver_events(engine.data_centre, origin, std::move(batch));
     }
     plan_step(name);
 }
@@ -357,23 +548,17 @@
         advance_engine(name);
         auto report = engine.model->load();
         report.age = delays_.load_report_lag;
-        at(now_ + delays_.load_report_lag,
-           [this, report]
-           {
-               for (std::size_t i = 0; i < daemons_.size(); ++i)
-               {
-                   if (reachable(i, report.engine))
-                   {
-                       daemons_[i].state->in.load_reports.push_back(report);
-                   }
-               }
-           });
+        for (std::size_t i = 0; i < daemons_.size(); ++i)
+        {
+            if (!is_cut(data_centre_of(i), engine.data_centre))
+            {
+                deliver(origin_of(i), delays_.load_report_lag,
+                        [report](inbox &in)
+                        { in.load_reports.push_back(report); });
+            }
+        }
         report_cache_events(engine);
     }
-    for (std::size_t i = 0; i < daemons_.size(); ++i)
-    {
-        plan_tick(i, now_ + delays_.load_report_interval);
-    }
     at(now_ + delays_.load_report_interval, [this] { report_loads(); });
 }
 
@@ -396,8 +581,12 @@
     at(now_ + delays_.load_report_lag,
        [this, events]
        {
-           for (auto &daemon : daemons_)
+           for (auto const &daemon : daemons_)
            {
+               if (!daemon.alive)
+               {
+                   continue;
+               }
                auto &in = daemon.state->in.cache_events;
                in.insert(in.end(), events->begin(), events->end());
            }
@@ -407,45 +596,87 @@
 void virtual_deployment::send_service_call(std::size_t daemon,
                                            service_call const &call)
 {
-    auto const &endpoints = daemons_[daemon].state->endpoints;
-    auto const &endpoint =
-        endpoints.at(*endpoints.find(call.endpoint)).definition;
-    auto const delay = delay_to(daemon, endpoint.data_centre);
-    at(now_ + delay,
-       [this, daemon, call, service = endpoint.service, delay]
-       {
-           auto const answer = services_[service].call(
-               call.method, call.idempotency_key, call.body ? *call.body : "");
-           service_reply reply;
-           reply.attempt = call.attempt;
-           reply.http_status = answer.http_status;
-           reply.body = answer.body;
-           at(now_ + delay + milliseconds(2),
-              [this, daemon, reply]
-              {
-                  daemons_[daemon].state->in.service_replies.push_back(reply);
-                  plan_tick(daemon, now_);
-              });
-       });
+    auto &state = *daemons_[daemon].state;
+    auto const endpoint =
+        state.endpoints.at(*state.endpoints.find(call.endpoint)).definition;
+    auto const request = state.attempts.find(call.attempt)->request;
+    if (on_send)
+    {
+        on_send(daemon, call.endpoint);
+    }
+    at(now_ + delay_to(daemon, endpoint.data_centre),
+       [this, origin = origin_of(daemon), request, call, endpoint]
+       { answer_service_call(origin, request, call, endpoint); });
+}
+
+void virtual_deployment::answer_service_call(
+    virtual_origin origin, request_number request, service_call const &call,
+    endpoint_definition const &endpoint)
+{
+    auto const delay = delay_to(origin.daemon, endpoint.data_centre);
+    auto const &here = data_centre_of(origin.daemon);
+    service_reply reply;
+    reply.attempt = call.attempt;
+    reply.kind = service_reply_kind::failed_before_send;
+    auto const put = [&reply, this, origin](duration after)
+    {
+        deliver(origin, after,
+                [reply](inbox &in) { in.service_replies.push_back(reply); });
+    };
+    if (closed_endpoints.contains(call.endpoint) ||
+        is_cut(here, endpoint.data_centre))
+    {
+        put(delay);
+        return;
+    }
+    auto const answer = services_[endpoint.service].call(
+        call.method, call.idempotency_key, call.body ? *call.body : "");
+    if (on_service_effect)
+    {
+        on_service_effect(origin.daemon, request, call);
+    }
+    auto const fate = answer_fate ? answer_fate(call) : message_fate();
+    auto const after = delay + delays_.service_time + fate.delay;
+    if (fate.lost || after > call.timeout)
+    {
+        reply.kind = service_reply_kind::failed_after_send;
+        put(call.timeout);
+        return;
+    }
+    reply.kind = service_reply_kind::answered;
+    reply.http_status = answer.http_status;
+    reply.body = answer.body;
+    put(after);
 }
 
 void virtual_deployment::send_table_call(std::size_t daemon,
                                          table_call const &call)
 {
-    at(now_ + delays_.table_service,
-       [this, daemon, call] { deliver_table_call(daemon, call); });
+    at(now_ + delays_.table_service, [this, origin = origin_of(daemon), call]
+       { deliver_table_call(origin, call); });
 }
 
-void virtual_deployment::deliver_table_call(std::size_t daemon,
-                                            table_call const &call)
+table_reply virtual_deployment::apply_table_call(virtual_origin origin,
+                                                 table_call const &call)
 {
+    std::optional<table_outcome> fault;
+    if (table_fault)
+    {
+        fault = table_fault(origin.daemon, call);
+    }
+    if (is_cut(data_centre_of(origin.daemon), platform))
+    {
+        fault = table_outcome::unavailable;
+    }
+    bool const lost =
+        fault.value_or(table_outcome::committed) == table_outcome::unknown;
     table_reply reply;
-    reply.operation = call.operation;
-    reply.owner = call.owner;
-    auto const fault = table_fault ? table_fault(daemon, call) : std::nullopt;
-    bool const reaches_table = !fault || (*fault == table_outcome::unknown &&
-                                          !(table_loses && table_loses(call)));
-    if (reaches_table)
+    bool const write_lost = lost && table_loses && table_loses(call);
+    if (lost && !write_lost && late_write)
+    {
+        at(now_ + late_write(), [this, call] { table_.apply(call); });
+    }
+    else if (!fault || (lost && !write_lost))
     {
         reply = table_.apply(call);
     }
@@ -454,12 +685,17 @@
         reply.outcome = *fault;
         reply.rows.clear();
     }
-    at(now_ + delays_.table_service,
-       [this, daemon, reply]
-       {
-           daemons_[daemon].state->in.table_replies.push_back(reply);
-           plan_tick(daemon, now_);
-       });
+    return reply;
+}
+
+void virtual_deployment::deliver_table_call(virtual_origin origin,
+                                            table_call const &call)
+{
+    auto reply = apply_table_call(origin, call);
+    reply.operation = call.operation;
+    reply.owner = call.owner;
+    deliver(origin, delays_.table_service,
+            [reply](inbox &in) { in.table_replies.push_back(reply); });
 }
 
 void virtual_deployment::send_order_call(std::size_t daemon,
@@ -471,12 +707,13 @@
                                      : std::vector<duration>{duration(0)};
     for (auto const extra : copies)
     {
-        at(now_ + delay + extra, [this, daemon, order = call.order]
-           { deliver_order(daemon, order); });
+        at(now_ + delay + extra,
+           [this, origin = origin_of(daemon), order = call.order]
+           { deliver_order(origin, order); });
     }
 }
 
-void virtual_deployment::deliver_order(std::size_t daemon,
+void virtual_deployment::deliver_order(virtual_origin origin,
                                        engine_order const &order)
 {
     auto &engine = engines_.at(order.engine);
@@ -489,24 +726,17 @@
     {
         on_order(order, reply.outcome);
     }
-    at(now_ + delays_.within_data_centre,
-       [this, daemon, reply]
-       {
-           daemons_[daemon].state->in.order_replies.push_back(reply);
-           plan_tick(daemon, now_);
-       });
+    deliver(origin, delays_.within_data_centre,
+            [reply](inbox &in) { in.order_replies.push_back(reply); });
 }
 
-void virtual_deployment::add_peers()
+void virtual_deployment::add_peers(world &w)
 {
-    for (auto &daemon : daemons_)
+    for (auto const &peer : daemons_)
     {
-        for (auto const &peer : daemons_)
-        {
-            auto const &identity = peer.state->identity;
-            add_peer(*daemon.state, identity.name, identity.address,
-                     identity.data_centre);
-        }
+        auto const &identity = peer.identity;
+        agateledge::add_peer(w, identity.name, identity.address,
+                             identity.data_centre);
     }
 }
 
@@ -515,7 +745,7 @@
 {
     auto const found =
         std::ranges::find_if(daemons_, [&name](virtual_daemon const &daemon)
-                             { return daemon.state->identity.name == name; });
+                             { return daemon.identity.name == name; });
     return found == daemons_.end()
                ? std::nullopt
                : std::optional<std::size_t>(found - daemons_.begin());
@@ -524,6 +754,7 @@
 bool virtual_deployment::reaches(std::size_t from, std::size_t to) const
 {
     return daemons_[from].alive && daemons_[to].alive && !daemons_[to].paused &&
+           !is_cut(data_centre_of(from), data_centre_of(to)) &&
            (!daemon_reachable || daemon_reachable(from, to));
 }
 
@@ -533,76 +764,61 @@
     auto const peer = find_daemon(call.peer);
     if (!peer || !reaches(daemon, *peer))
     {
-        fail_peer_call(daemon, call.peer);
+        fail_peer_call(origin_of(daemon), call.peer);
         return;
     }
-    auto const delay =
-        delay_to(daemon, daemons_[*peer].state->identity.data_centre);
-    at(now_ + delay, [this, daemon, peer = *peer, message = call.message]
-       { answer_peer_call(daemon, peer, message); });
+    at(now_ + delay_to(daemon, data_centre_of(*peer)),
+       [this, origin = origin_of(daemon), peer = *peer, message = call.message]
+       { answer_peer_call(origin, peer, message); });
 }
 
-void virtual_deployment::answer_peer_call(std::size_t daemon, std::size_t peer,
+void virtual_deployment::answer_peer_call(virtual_origin origin,
+                                          std::size_t peer,
                                           heartbeat const &message)
 {
-    auto const &data_centre = daemons_[daemon].state->identity.data_centre;
     if (!daemons_[peer].alive || daemons_[peer].paused)
     {
-        fail_peer_call(daemon, daemons_[peer].state->identity.name);
+        fail_peer_call(origin, daemons_[peer].identity.name);
         return;
     }
     daemons_[peer].state->in.heartbeats.push_back(message);
     plan_tick(peer, now_);
-    if (!reaches(peer, daemon))
+    if (!reaches(peer, origin.daemon))
     {
-        fail_peer_call(daemon, daemons_[peer].state->identity.name);
+        fail_peer_call(origin, daemons_[peer].identity.name);
         return;
     }
     auto const reply =
         own_heartbeat(*daemons_[peer].state, now_, message.sequence);
-    at(now_ + delay_to(peer, data_centre),
-       [this, daemon, reply]
-       {
-           daemons_[daemon].state->in.heartbeats.push_back(reply);
-           plan_tick(daemon, now_);
-       });
+    deliver(origin, delay_to(peer, data_centre_of(origin.daemon)),
+            [reply](inbox &in) { in.heartbeats.push_back(reply); });
 }
 
-void virtual_deployment::fail_peer_call(std::size_t daemon,
+void virtual_deployment::fail_peer_call(virtual_origin origin,
                                         std::string const &peer)
 {
-    at(now_ + delays_.peer_call_timeout,
-       [this, daemon, peer]
-       {
-           daemons_[daemon].state->in.peer_failures.push_back({peer});
-           plan_tick(daemon, now_);
-       });
+    deliver(origin, delays_.peer_call_timeout,
+            [peer](inbox &in) { in.peer_failures.push_back({peer}); });
 }
 
 void virtual_deployment::send_configuration_fetch(
     std::size_t daemon, configuration_fetch const &fetch)
 {
     auto const peer = find_daemon(fetch.peer);
+    auto const origin = origin_of(daemon);
     if (!peer || !reaches(daemon, *peer) || !reaches(*peer, daemon))
     {
-        fail_peer_call(daemon, fetch.peer);
+        fail_peer_call(origin, fetch.peer);
         return;
     }
-    auto const delay =
-        delay_to(daemon, daemons_[*peer].state->identity.data_centre);
-    at(now_ + delay * 2,
-       [this, daemon, peer = *peer]
-       {
-           auto &state = *daemons_[peer].state;
-           configuration_document document;
-           document.from = state.identity.name;
-           document.document = configuration_to_json(state.config);
-           document.revision_age_us =
-               own_heartbeat(state, now_).revision_age_us;
-           daemons_[daemon].state->in.configuration_documents.push_back(
-               document);
-           plan_tick(daemon, now_);
-       });
+    auto &state = *daemons_[*peer].state;
+    configuration_document document;
+    document.from = state.identity.name;
+    document.document = configuration_to_json(state.config);
+    document.revision_age_us = own_heartbeat(state, now_).revision_age_us;
+    deliver(origin, delay_to(daemon, data_centre_of(*peer)) * 2,
+            [document](inbox &in)
+            { in.configuration_documents.push_back(document); });
 }
 
 void virtual_deployment::report_hosts()
@@ -611,8 +827,12 @@
     {
         for (std::size_t i = 0; i < daemons_.size(); ++i)
         {
-            daemons_[i].state->in.membership_reports.push_back({hosts_});
-            plan_tick(i, now_);
+            if (!is_cut(data_centre_of(i), platform))
+            {
+                deliver(origin_of(i), duration(0),
+                        [this](inbox &in)
+                        { in.membership_reports.push_back({hosts_}); });
+            }
         }
     }
     at(now_ + delays_.host_report_interval, [this] { report_hosts(); });
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -6,12 +6,15 @@
 #include "dispatch_requests.hpp"
 #include "follow_changes.hpp"
 #include "forward_answers.hpp"
+#include "hedge_calls.hpp"
 #include "internal_assert.hpp"
 #include "issue_orders.hpp"
 #include "plan_role_changes.hpp"
 #include "propose_configuration.hpp"
 #include "receive_requests.hpp"
 #include "renew_leases.hpp"
+#include "retry_requests.hpp"
+#include "stop_daemon.hpp"
 #include "track_engines.hpp"
 #include "track_peers.hpp"
 #include "world.hpp"
@@ -30,12 +33,15 @@
     apply_configuration(w);
     follow_proposals(w);
     track_engines(w);
+    stop_daemon(w);
     renew_leases(w);
     issue_orders(w);
     follow_changes(w);
     forward_answers(w);
     receive_requests(w);
     claim_calls(w);
+    retry_requests(w);
+    hedge_calls(w);
     dispatch_requests(w);
     plan_role_changes(w);
     check_invariants(w);
