--- a/harness/bench_oracle.cpp
+++ b/harness/bench_oracle.cpp
@@ -15,6 +15,7 @@
 /// Plan of the roles over a run.
 struct role_plan
 {
+    std::string name;
     /// Engines with the role prefill for each unit of the share of prefill in
     /// the work; 0 leaves the initial roles.
     double scale = 0;
@@ -196,10 +197,14 @@
     auto const middle =
         scenario.prompt_share(to_seconds(scenario.length) * 0.5);
     std::vector<role_plan> const plans = {
-        {0, 1.0, 0},       {0, 0, (begin + middle) / 2},
-        {0.8, 0, begin},   {1.0, 0, begin},
-        {1.2, 0, begin},   {0, 0.5, (begin + middle) / 2}};
+        {"all mixed", 0, 1.0, 0},
+        {"static", 0, 0, (begin + middle) / 2},
+        {"follow 0.8", 0.8, 0, begin},
+        {"follow 1.0", 1.0, 0, begin},
+        {"follow 1.2", 1.2, 0, begin},
+        {"half mixed", 0, 0.5, (begin + middle) / 2}};
     bench_score best;
+    std::map<std::string, double> tried;
     // At most this many runs at a time share the machine.
     constexpr std::size_t parallel = 3;
     for (std::size_t i = 0; i < plans.size(); i += parallel)
@@ -210,15 +215,18 @@
             running.push_back(std::async(std::launch::async, run_plan, load,
                                          scenario, seed, plans[j]));
         }
+        std::size_t k = 0;
         for (auto &item : running)
         {
             auto score = item.get();
+            tried[plans.at(i + k++).name] = score.goodput;
             if (score.goodput > best.goodput)
             {
                 best = std::move(score);
             }
         }
     }
+    best.plans = std::move(tried);
     return best;
 }
 
--- a/harness/bench_score.hpp
+++ b/harness/bench_score.hpp
@@ -35,6 +35,8 @@
     double goodput_per_second = 0;
     std::map<std::string, class_score> classes;
     int role_changes = 0;
+    /// Goodput of each plan of roles that the oracle tried.
+    std::map<std::string, double> plans;
     double seconds_away = 0;
     std::int64_t prefilled_tokens = 0;
     std::int64_t cached_tokens = 0;
--- a/src/attempt_table.hpp
+++ b/src/attempt_table.hpp
@@ -27,6 +27,14 @@
     /// Prefill work counted on the engine until the first token.
     int counted_prefill_tokens = 0;
     bool prefill_only = false;
+    /// KV cache memory counted on the engine, in tokens.
+    std::int64_t counted_kv_tokens = 0;
+    /// Prefill work that was ahead of the attempt when it began.
+    double backlog_tokens = 0;
+    /// Begin of the present sample of the step time; the offset is negative
+    /// until the first token.
+    int sample_offset = -1;
+    instant sample_begun_at{};
 };
 
 /// Open attempts by number.
--- a/src/dispatch_requests.cpp
+++ b/src/dispatch_requests.cpp
@@ -1,5 +1,6 @@
 #include "dispatch_requests.hpp"
 
+#include "admit_requests.hpp"
 #include "claim_calls.hpp"
 #include "request_lifecycle.hpp"
 #include "select_endpoint.hpp"
@@ -132,12 +133,17 @@
     return send_to_endpoint(w, request);
 }
 
-/// @return time at which a request that has not begun cannot be in time
-instant expiry_of(request_state const &request)
+/// @return time at which the request leaves the queue unserved
+instant expiry_of(world const &w, request_state const &request)
 {
-    auto const deadline = request.kind.finish_deadline;
-    bool const bounded = deadline.count() > 0 && !request.kind.may_wait;
-    return bounded ? request.arrived_at + deadline : instant::max();
+    auto const &kind = request.kind;
+    bool const begun = request.attempts > 0 || !request.arrival.idempotent;
+    if (!begun && !w.hooks.plain_queue)
+    {
+        return latest_start(w, request);
+    }
+    bool const bounded = kind.finish_deadline.count() > 0 && !kind.may_wait;
+    return bounded ? request.arrived_at + kind.finish_deadline : instant::max();
 }
 
 instant rank_of(world const &w, request_state const &request)
@@ -158,8 +164,18 @@
     if (request != nullptr && request->phase == request_phase::waiting)
     {
         w.queue.add(number, lane_of(*request), rank_of(w, *request),
-                    expiry_of(*request));
+                    expiry_of(w, *request));
+    }
+}
+
+result_code code_of_expiry(request_state const &request)
+{
+    if (request.attempts > 0)
+    {
+        return result_code::deadline_exceeded;
     }
+    return request.arrival.service.empty() ? result_code::deadline_unreachable
+                                           : result_code::no_endpoint;
 }
 
 void refuse_expired(world &w)
@@ -171,10 +187,8 @@
         {
             continue;
         }
-        refuse_request(w, number,
-                       request->attempts == 0 ? result_code::no_endpoint
-                                              : result_code::deadline_exceeded,
-                       "nothing took the request before its deadline");
+        refuse_request(w, number, code_of_expiry(*request),
+                       "nothing took the request in time for its deadline");
     }
 }
 
--- a/src/engine_table.hpp
+++ b/src/engine_table.hpp
@@ -25,6 +25,7 @@
     int own_requests = 0;
     int own_prefill_tokens = 0;
     int own_decode_requests = 0;
+    std::int64_t own_kv_tokens = 0;
     /// Work that peers reported open on the engine.
     int peer_requests = 0;
     int peer_prefill_tokens = 0;
--- /dev/null
+++ b/src/learn_costs.cpp
@@ -0,0 +1,243 @@
+#include "learn_costs.hpp"
+
+#include "estimate_load.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// A step sample covers this many tokens or this time, whichever is first.
+constexpr int sample_tokens = 16;
+constexpr duration sample_time = milliseconds(250);
+
+/// Weight that a step sample keeps when a new one arrives.
+constexpr double forgetting = 0.998;
+
+/// A sample moves an estimate as if it were at most this factor away, so that
+/// outliers and a grey engine do not spoil the role's model.
+constexpr double outlier_factor = 1.5;
+constexpr double slowness_factor = 12.0;
+constexpr double slowness_weight = 0.25;
+constexpr double prefill_weight = 0.05;
+constexpr double output_weight = 0.03;
+
+/// Prefill work below this says more about the step than about the speed.
+constexpr double min_prefill_sample = 400;
+
+/// Own load is kept for reports up to this age.
+constexpr duration max_report_age = seconds(10);
+
+void learn_slowness(world &w, engine_index index, double ratio)
+{
+    auto &costs = w.costs.engine(index);
+    auto const clipped =
+        std::clamp(ratio, 1 / slowness_factor, slowness_factor);
+    auto const mean = std::log(costs.slowness) * (1 - slowness_weight) +
+                      std::log(clipped) * slowness_weight;
+    costs.slowness = std::exp(mean);
+    ++costs.samples;
+    costs.last_sample_at = w.now;
+}
+
+/// Recursive least squares with forgetting for base and slope.
+void learn_step(role_costs &role, double sequences, double seconds)
+{
+    auto const predicted = role.step_base + role.step_slope * sequences;
+    auto const observed = std::clamp(seconds, predicted / outlier_factor,
+                                     predicted * outlier_factor);
+    auto &[a, b, c] = role.covariance;
+    auto const g0 = a + b * sequences;
+    auto const g1 = b + c * sequences;
+    auto const denominator = forgetting + g0 + g1 * sequences;
+    auto const error = observed - predicted;
+    role.step_base = std::clamp(role.step_base + g0 / denominator * error,
+                                0.0005, 2.0);
+    role.step_slope = std::clamp(role.step_slope + g1 / denominator * error,
+                                 0.0, 0.1);
+    // Bounds keep the gain finite when the batch does not vary.
+    auto const next_a = (a - g0 * g0 / denominator) / forgetting;
+    auto const next_b = (b - g0 * g1 / denominator) / forgetting;
+    auto const next_c = (c - g1 * g1 / denominator) / forgetting;
+    if (next_a < 1.0 && next_c < 1.0)
+    {
+        role.covariance = {next_a, next_b, next_c};
+    }
+    ++role.step_samples;
+}
+
+void sample_step(world &w, attempt_state &attempt, engine_event const &event)
+{
+    auto const tokens = event.offset + event.tokens - attempt.sample_offset;
+    auto const elapsed = w.now - attempt.sample_begun_at;
+    bool const due = tokens >= sample_tokens || elapsed >= sample_time;
+    if (!due || tokens <= 0)
+    {
+        return;
+    }
+    auto const &engine = w.engines.at(*attempt.engine);
+    auto &role = w.costs.role(engine.definition.service, engine.role());
+    auto const step = to_seconds(elapsed) / tokens;
+    auto const sequences = estimate_load(w, *attempt.engine).requests;
+    auto const predicted = role.step_base + role.step_slope * sequences;
+    learn_slowness(w, *attempt.engine, step / predicted);
+    learn_step(role, sequences, step);
+    attempt.sample_offset = event.offset + event.tokens;
+    attempt.sample_begun_at = w.now;
+}
+
+void learn_hits(world &w, attempt_state const &attempt,
+                engine_event const &event)
+{
+    auto const *request = w.requests.find(attempt.request);
+    auto const prompt = request->arrival.prompt_tokens;
+    if (prompt > 0)
+    {
+        constexpr double weight = 0.05;
+        auto &share = w.costs.engine(*attempt.engine).hit_share;
+        share += weight *
+                 (static_cast<double>(event.cached_tokens) / prompt - share);
+    }
+}
+
+/// Learns from the end of a prompt's computation.
+void sample_prefill(world &w, attempt_state const &attempt,
+                    engine_event const &event)
+{
+    auto const &engine = w.engines.at(*attempt.engine);
+    auto &role = w.costs.role(engine.definition.service, engine.role());
+    auto const *request = w.requests.find(attempt.request);
+    learn_hits(w, attempt, event);
+    auto const own = request->arrival.prompt_tokens - event.cached_tokens;
+    auto const work = attempt.backlog_tokens + std::max(0, own);
+    auto const elapsed = to_seconds(w.now - attempt.started_at);
+    if (attempt.counted_prefill_tokens == 0 || work < min_prefill_sample ||
+        elapsed <= role.step_base)
+    {
+        return;
+    }
+    auto const rate = work / elapsed;
+    learn_slowness(w, *attempt.engine, role.prefill_rate / rate);
+    auto const change = std::clamp(rate / role.prefill_rate,
+                                   1 / outlier_factor, outlier_factor);
+    role.prefill_rate *= std::pow(change, prefill_weight);
+    ++role.prefill_samples;
+}
+
+void learn_output(world &w, attempt_state const &attempt, int tokens)
+{
+    auto const *request = w.requests.find(attempt.request);
+    auto &estimate = w.costs.output(request->kind.name);
+    if (estimate.samples++ == 0)
+    {
+        estimate.mean_tokens = request->kind.expected_output_tokens;
+    }
+    auto const error = tokens - estimate.mean_tokens;
+    estimate.mean_error +=
+        output_weight * (std::abs(error) - estimate.mean_error);
+    estimate.mean_tokens += output_weight * error;
+}
+
+void learn_from_event(world &w, engine_event const &event)
+{
+    auto *attempt = w.attempts.find(event.attempt);
+    if (attempt == nullptr || !attempt->engine)
+    {
+        return;
+    }
+    if (event.kind == engine_event_kind::prefilled)
+    {
+        sample_prefill(w, *attempt, event);
+    }
+    else if (event.kind == engine_event_kind::finished)
+    {
+        learn_output(w, *attempt, event.offset);
+    }
+    else if (event.kind == engine_event_kind::chunk &&
+             attempt->sample_offset < 0)
+    {
+        sample_prefill(w, *attempt, event);
+        attempt->sample_offset = event.offset + event.tokens;
+        attempt->sample_begun_at = w.now;
+    }
+    else if (event.kind == engine_event_kind::chunk)
+    {
+        sample_step(w, *attempt, event);
+    }
+}
+
+/// The batch limit follows the batches of engines that have a queue, and is
+/// probed upwards while full batches leave none.
+void learn_batch(role_costs &role, load_report const &report)
+{
+    constexpr double weight = 0.05;
+    constexpr double probe = 0.1;
+    constexpr int queue = 2;
+    if (report.waiting > queue && report.running > 0)
+    {
+        role.batch_limit += weight * (report.running - role.batch_limit);
+    }
+    else if (report.running >= role.batch_limit - 1)
+    {
+        role.batch_limit = std::max<double>(report.running,
+                                            role.batch_limit + probe);
+    }
+}
+
+void learn_from_report(world &w, load_report const &report)
+{
+    auto const index = w.engines.find(report.engine);
+    if (!index)
+    {
+        return;
+    }
+    auto const &engine = w.engines.at(*index);
+    auto &history = w.costs.engine(*index).history;
+    history.push_back({w.now, engine.own_requests, engine.own_prefill_tokens,
+                       engine.own_kv_tokens});
+    while (history.front().at + max_report_age < w.now)
+    {
+        history.pop_front();
+    }
+    if (!report.ready || report.role == engine_role::prefill)
+    {
+        return;
+    }
+    learn_batch(w.costs.role(engine.definition.service, report.role), report);
+}
+
+void learn_others(world &w, load_report const &report)
+{
+    constexpr double weight = 0.02;
+    auto const index = w.engines.find(report.engine);
+    if (!index)
+    {
+        return;
+    }
+    auto const &engine = w.engines.at(*index);
+    auto &role = w.costs.role(engine.definition.service, engine.role());
+    auto const others = reported_others(w, *index);
+    role.others_requests += weight * (others.requests - role.others_requests);
+    role.others_prefill_tokens +=
+        weight * (others.prefill_tokens - role.others_prefill_tokens);
+}
+
+} // namespace
+
+void learn_costs(world &w)
+{
+    for (auto const &report : w.in.load_reports)
+    {
+        learn_from_report(w, report);
+        learn_others(w, report);
+    }
+    std::ranges::for_each(w.in.engine_events, [&w](engine_event const &event)
+                          { learn_from_event(w, event); });
+}
+
+} // namespace agateledge
--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "request_lifecycle.hpp"
 
+#include "estimate_load.hpp"
 #include "internal_assert.hpp"
 #include "world.hpp"
 
@@ -16,6 +17,7 @@
     auto &engine = w.engines.at(*attempt.engine);
     engine.own_requests += sign;
     engine.own_prefill_tokens += sign * attempt.counted_prefill_tokens;
+    engine.own_kv_tokens += sign * attempt.counted_kv_tokens;
     internal_assert(engine.own_requests >= 0, "engine ", engine.definition.name,
                     " has ", engine.own_requests, " open requests");
 }
@@ -81,7 +83,15 @@
 {
     auto attempt = new_attempt(w, request);
     attempt.engine = engine;
-    attempt.counted_prefill_tokens = request.arrival.prompt_tokens;
+    auto const &arrival = request.arrival;
+    attempt.backlog_tokens = estimate_load(w, engine).prefill_tokens;
+    // An imported KV cache leaves no prompt to compute.
+    attempt.counted_prefill_tokens =
+        request.kv_key.empty() ? arrival.prompt_tokens : 0;
+    attempt.counted_kv_tokens =
+        arrival.prompt_tokens +
+        static_cast<std::int64_t>(w.costs.expected_output(
+            request.kind.name, request.kind.expected_output_tokens));
     count_engine_load(w, attempt, 1);
     return w.attempts.add(std::move(attempt));
 }
--- a/src/select_endpoint.cpp
+++ b/src/select_endpoint.cpp
@@ -1,5 +1,6 @@
 #include "select_endpoint.hpp"
 
+#include "break_circuits.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -15,7 +16,8 @@
     {
         auto const &endpoint = w.endpoints.all()[i];
         if (!endpoint.takes_work() ||
-            endpoint.definition.service != request.kind.service)
+            endpoint.definition.service != request.kind.service ||
+            !circuit_allows(w, endpoint_index(i)))
         {
             continue;
         }
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -1,10 +1,12 @@
 #include "tick.hpp"
 
+#include "break_circuits.hpp"
 #include "check_invariants.hpp"
 #include "claim_calls.hpp"
 #include "dispatch_requests.hpp"
 #include "forward_answers.hpp"
 #include "internal_assert.hpp"
+#include "learn_costs.hpp"
 #include "plan_role_changes.hpp"
 #include "receive_requests.hpp"
 #include "track_engines.hpp"
@@ -21,6 +23,8 @@
     w.now = now;
     w.next_wake.reset();
     track_engines(w);
+    learn_costs(w);
+    break_circuits(w);
     forward_answers(w);
     receive_requests(w);
     claim_calls(w);
--- a/src/track_engines.cpp
+++ b/src/track_engines.cpp
@@ -38,6 +38,13 @@
 {
     std::ranges::for_each(w.in.load_reports, [&w](load_report const &report)
                           { store_report(w, report); });
+    for (auto const &event : w.in.cache_events)
+    {
+        if (auto const index = w.engines.find(event.engine))
+        {
+            w.prefixes.record(*index, event);
+        }
+    }
     if (w.candidates.due(w.now, w.config.revision))
     {
         w.candidates.rebuild(w.engines, w.now, w.config.revision);
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -4,6 +4,7 @@
 #include "attempt_table.hpp"
 #include "candidate_index.hpp"
 #include "caller_table.hpp"
+#include "circuit_table.hpp"
 #include "claim_table.hpp"
 #include "configuration.hpp"
 #include "cost_table.hpp"
@@ -20,6 +21,7 @@
 #include "order_table.hpp"
 #include "outbox.hpp"
 #include "peer_table.hpp"
+#include "prefix_view.hpp"
 #include "query_table.hpp"
 #include "random_source.hpp"
 #include "request_table.hpp"
@@ -67,6 +69,8 @@
     peer_table peers;
     caller_table callers;
     cost_table costs;
+    circuit_table circuits;
+    prefix_view prefixes;
     usage_table usage;
     query_table queries;
     counters totals;
