Fit the step time by weighted moments

Cause: recursive least squares left the mixed role's line at base 0.5 ms and slope 100 ms, because the batch hardly varied; nearly all urgent requests were refused. Change: a line through weighted moments with non-negative parts.

--- a/harness/bench_run.cpp
+++ b/harness/bench_run.cpp
@@ -199,7 +199,29 @@
         score.cached_tokens += engine.model->cached_prompt_tokens();
         score.generated_tokens += engine.model->generated_tokens();
     }
+    note_learned(score);
     return score;
 }
 
+void bench_run::note_learned(bench_score &score)
+{
+    auto &state = *deployment_.daemons().front().state;
+    for (auto const role :
+         {engine_role::mixed, engine_role::prefill, engine_role::decode})
+    {
+        auto const name = std::string(name_of(role));
+        auto const &costs = state.costs.role("assistant", role);
+        score.learned[name + "_step_base_s"] = costs.step_base;
+        score.learned[name + "_step_slope_s"] = costs.step_slope;
+        score.learned[name + "_prefill_tokens_per_s"] = costs.prefill_rate;
+        score.learned[name + "_batch_limit"] = costs.batch_limit;
+    }
+    for (auto const &item : load_.classes)
+    {
+        auto const &estimate = state.costs.output(item.class_name);
+        score.learned[item.class_name + "_output_mean"] = estimate.mean_tokens;
+        score.learned[item.class_name + "_output_error"] = estimate.mean_error;
+    }
+}
+
 } // namespace agateledge
--- a/harness/bench_run.hpp
+++ b/harness/bench_run.hpp
@@ -42,6 +42,7 @@
     void book();
     void plan_faults();
     void end_streams(std::string const &engine, bool only_remote);
+    void note_learned(bench_score &score);
     bool scored(instant when) const;
 
     workload const &load_;
--- a/harness/bench_score.hpp
+++ b/harness/bench_score.hpp
@@ -35,6 +35,8 @@
     double goodput_per_second = 0;
     std::map<std::string, class_score> classes;
     int role_changes = 0;
+    /// What the first daemon had learned at the end of the run, by name.
+    std::map<std::string, double> learned;
     /// Goodput of each plan of roles that the oracle tried.
     std::map<std::string, double> plans;
     double seconds_away = 0;
--- a/src/cost_table.hpp
+++ b/src/cost_table.hpp
@@ -20,8 +20,12 @@
     /// Step time of a batch of n sequences: base + slope * n, in seconds.
     double step_base = 0.015;
     double step_slope = 0.0004;
-    /// Inverse of the weighted sample covariance of the two.
-    std::array<double, 3> covariance = {1e-2, 0, 1e-5};
+    /// Weighted means of n, of the step time, of n squared and of their
+    /// product; they begin with the line above at n = 8 and n = 32.
+    double mean_n = 20;
+    double mean_step = 0.023;
+    double mean_nn = 544;
+    double mean_n_step = 0.5176;
     /// Prompt tokens a second, with the work that runs beside them.
     double prefill_rate = 6000;
     /// Sequences that an engine runs at the same time.
--- a/src/learn_costs.cpp
+++ b/src/learn_costs.cpp
@@ -16,8 +16,8 @@
 constexpr int sample_tokens = 16;
 constexpr duration sample_time = milliseconds(250);
 
-/// Weight that a step sample keeps when a new one arrives.
-constexpr double forgetting = 0.998;
+/// Weight of a new step sample.
+constexpr double step_weight = 0.002;
 
 /// A sample moves an estimate as if it were at most this factor away, so that
 /// outliers and a grey engine do not spoil the role's model.
@@ -45,29 +45,29 @@
     costs.last_sample_at = w.now;
 }
 
-/// Recursive least squares with forgetting for base and slope.
+/// Fits the line through the weighted samples. Neither part may be negative: a
+/// batch that hardly varies leaves the slope to noise.
+void fit_step(role_costs &role)
+{
+    auto const variance = role.mean_nn - role.mean_n * role.mean_n;
+    auto const covariance = role.mean_n_step - role.mean_n * role.mean_step;
+    auto const highest = role.mean_step / std::max(1.0, role.mean_n);
+    role.step_slope =
+        std::clamp(covariance / std::max(1.0, variance), 0.0, highest);
+    role.step_base = role.mean_step - role.step_slope * role.mean_n;
+}
+
 void learn_step(role_costs &role, double sequences, double seconds)
 {
     auto const predicted = role.step_base + role.step_slope * sequences;
     auto const observed = std::clamp(seconds, predicted / outlier_factor,
                                      predicted * outlier_factor);
-    auto &[a, b, c] = role.covariance;
-    auto const g0 = a + b * sequences;
-    auto const g1 = b + c * sequences;
-    auto const denominator = forgetting + g0 + g1 * sequences;
-    auto const error = observed - predicted;
-    role.step_base = std::clamp(role.step_base + g0 / denominator * error,
-                                0.0005, 2.0);
-    role.step_slope = std::clamp(role.step_slope + g1 / denominator * error,
-                                 0.0, 0.1);
-    // Bounds keep the gain finite when the batch does not vary.
-    auto const next_a = (a - g0 * g0 / denominator) / forgetting;
-    auto const next_b = (b - g0 * g1 / denominator) / forgetting;
-    auto const next_c = (c - g1 * g1 / denominator) / forgetting;
-    if (next_a < 1.0 && next_c < 1.0)
-    {
-        role.covariance = {next_a, next_b, next_c};
-    }
+    role.mean_n += step_weight * (sequences - role.mean_n);
+    role.mean_step += step_weight * (observed - role.mean_step);
+    role.mean_nn += step_weight * (sequences * sequences - role.mean_nn);
+    role.mean_n_step +=
+        step_weight * (sequences * observed - role.mean_n_step);
+    fit_step(role);
     ++role.step_samples;
 }
 
--- a/tools/policy_bench.cpp
+++ b/tools/policy_bench.cpp
@@ -55,6 +55,10 @@
     out["waste"]["prefilled_tokens"] = Json::Int64(score.prefilled_tokens);
     out["waste"]["cached_prompt_tokens"] = Json::Int64(score.cached_tokens);
     out["waste"]["engine_seconds_away"] = score.seconds_away;
+    for (auto const &[name, value] : score.learned)
+    {
+        out["learned"][name] = value;
+    }
     for (auto const &[name, goodput] : score.plans)
     {
         out["plans"][name] = goodput;
