--- a/src/break_circuits.cpp
+++ b/src/break_circuits.cpp
@@ -204,11 +204,12 @@
     }
     if (target.phase == circuit_phase::half_open)
     {
-        bool const urgent = request.kind.priority == 0 && !request.kind.may_wait;
+        bool const urgent =
+            request.kind.priority == 0 && !request.kind.may_wait;
         return own == 0 && !urgent;
     }
-    auto const warm = to_seconds(w.now - target.closed_at) /
-                      to_seconds(slow_start);
+    auto const warm =
+        to_seconds(w.now - target.closed_at) / to_seconds(slow_start);
     return target.closed_at == instant{} || warm >= 1 ||
            own < slow_start_requests + warm * slow_start_range;
 }
--- a/src/circuit_table.hpp
+++ b/src/circuit_table.hpp
@@ -61,8 +61,7 @@
         return all[index];
     }
 
-    static circuit const &at(std::vector<circuit> const &all,
-                             std::size_t index)
+    static circuit const &at(std::vector<circuit> const &all, std::size_t index)
     {
         static circuit const closed;
         return index < all.size() ? all[index] : closed;
--- a/src/estimate_load.cpp
+++ b/src/estimate_load.cpp
@@ -41,8 +41,7 @@
     auto const own =
         own_load_at(w.costs.engine(index), engine.report_measured_at);
     load_estimate out;
-    out.requests =
-        std::max(0, report.running + report.waiting - own.requests);
+    out.requests = std::max(0, report.running + report.waiting - own.requests);
     out.prefill_tokens =
         std::max(0, report.waiting_prefill_tokens - own.prefill_tokens);
     out.kv_tokens = static_cast<double>(
@@ -58,9 +57,9 @@
     auto const trust =
         engine.report ? std::exp(-age / report_half_life_seconds) : 0.0;
     auto out = reported_others(w, index);
-    out.requests = std::max<double>(
-        engine.peer_requests,
-        trust * out.requests + (1 - trust) * role.others_requests);
+    out.requests = std::max<double>(engine.peer_requests,
+                                    trust * out.requests +
+                                        (1 - trust) * role.others_requests);
     out.prefill_tokens = std::max<double>(
         engine.peer_prefill_tokens,
         trust * out.prefill_tokens + (1 - trust) * role.others_prefill_tokens);
--- a/src/learn_costs.cpp
+++ b/src/learn_costs.cpp
@@ -65,8 +65,7 @@
     role.mean_n += step_weight * (sequences - role.mean_n);
     role.mean_step += step_weight * (observed - role.mean_step);
     role.mean_nn += step_weight * (sequences * sequences - role.mean_nn);
-    role.mean_n_step +=
-        step_weight * (sequences * observed - role.mean_n_step);
+    role.mean_n_step += step_weight * (sequences * observed - role.mean_n_step);
     fit_step(role);
     ++role.step_samples;
 }
@@ -123,8 +122,8 @@
     }
     auto const rate = work / elapsed;
     learn_slowness(w, *attempt.engine, role.prefill_rate / rate);
-    auto const change = std::clamp(rate / role.prefill_rate,
-                                   1 / outlier_factor, outlier_factor);
+    auto const change = std::clamp(rate / role.prefill_rate, 1 / outlier_factor,
+                                   outlier_factor);
     role.prefill_rate *= std::pow(change, prefill_weight);
     ++role.prefill_samples;
 }
@@ -184,8 +183,8 @@
     }
     else if (report.running >= role.batch_limit - 1)
     {
-        role.batch_limit = std::max<double>(report.running,
-                                            role.batch_limit + probe);
+        role.batch_limit =
+            std::max<double>(report.running, role.batch_limit + probe);
     }
 }
 
--- a/src/predict_engine.cpp
+++ b/src/predict_engine.cpp
@@ -41,12 +41,12 @@
 
 double step_of(phase_input const &in)
 {
-    return in.slowness * (in.costs.step_base +
-                          in.costs.step_slope * (in.load.requests + 1));
+    return in.slowness *
+           (in.costs.step_base + in.costs.step_slope * (in.load.requests + 1));
 }
 
-bool has_sequence_room(engine_state const &engine,
-                       request_state const &request, phase_input const &in)
+bool has_sequence_room(engine_state const &engine, request_state const &request,
+                       phase_input const &in)
 {
     auto const need = request.arrival.prompt_tokens + in.output;
     bool const fits =
@@ -125,17 +125,17 @@
 {
     auto const &engine = w.engines.at(index);
     auto const role = engine.role();
-    auto const known = std::min<double>(cached_tokens,
-                                        request.arrival.prompt_tokens);
+    auto const known =
+        std::min<double>(cached_tokens, request.arrival.prompt_tokens);
     phase_input const in = {
-        estimate_load(w, index),
-        w.costs.role(engine.definition.service, role),
+        estimate_load(w, index), w.costs.role(engine.definition.service, role),
         std::max(1.0, w.costs.engine(index).slowness),
         request.arrival.prompt_tokens + request.delivered_tokens - known,
         output_left(w, request)};
-    auto out = !request.kv_key.empty()        ? predict_decode(engine, request, in)
-               : role == engine_role::prefill ? predict_prefill(w, request, in)
-                                              : predict_whole(engine, request, in);
+    auto out = !request.kv_key.empty() ? predict_decode(engine, request, in)
+               : role == engine_role::prefill
+                   ? predict_prefill(w, request, in)
+                   : predict_whole(engine, request, in);
     out.first_token += distance(w, engine);
     out.finish += distance(w, engine);
     return out;
--- a/src/prefix_view.cpp
+++ b/src/prefix_view.cpp
@@ -51,8 +51,8 @@
     for (std::size_t i = 0; i < found.count; ++i)
     {
         auto const &holder = found.holders.at(i);
-        out.push_back({holder.engine, blocks,
-                       holder.epoch == epoch_of(holder.engine)});
+        out.push_back(
+            {holder.engine, blocks, holder.epoch == epoch_of(holder.engine)});
     }
     return out;
 }
@@ -71,11 +71,11 @@
         order_.push_back(hash);
     }
     auto &entry = place->second;
-    auto const end = entry.holders.begin() +
-                     static_cast<std::ptrdiff_t>(entry.count);
-    auto const known =
-        std::find_if(entry.holders.begin(), end, [engine](holder const &item)
-                     { return item.engine == engine; });
+    auto const end =
+        entry.holders.begin() + static_cast<std::ptrdiff_t>(entry.count);
+    auto const known = std::find_if(entry.holders.begin(), end,
+                                    [engine](holder const &item)
+                                    { return item.engine == engine; });
     if (known != end)
     {
         known->epoch = epoch_of(engine);
--- a/src/select_engine.cpp
+++ b/src/select_engine.cpp
@@ -60,8 +60,9 @@
     if (from.size() <= sample_size)
     {
         std::ranges::transform(from, std::back_inserter(out),
-                               [](engine_index index)
-                               { return candidate{index, 0}; });
+                               [](engine_index index) {
+                                   return candidate{index, 0};
+                               });
         return;
     }
     for (std::size_t i = 0; i < sample_size; ++i)
@@ -112,8 +113,7 @@
     return out;
 }
 
-double cost_of(request_state const &request,
-               engine_prediction const &predicted)
+double cost_of(request_state const &request, engine_prediction const &predicted)
 {
     auto const first = predicted.first_token;
     auto const bound = to_seconds(request.kind.first_token_deadline);
