--- a/harness/bench_oracle.cpp
+++ b/harness/bench_oracle.cpp
@@ -13,8 +13,9 @@
 {
 
 /// Plan of the roles over a run.
-struct role_plan
+struct oracle_plan
 {
+    std::string name;
     /// Engines with the role prefill for each unit of the share of prefill in
     /// the work; 0 leaves the initial roles.
     double scale = 0;
@@ -119,7 +120,7 @@
         [role](engine_state const &engine) { return engine.role() == role; }));
 }
 
-void follow_plan(bench_run &run, world &w, role_plan const &plan)
+void follow_plan(bench_run &run, world &w, oracle_plan const &plan)
 {
     auto const second = to_seconds(w.now.time_since_epoch());
     auto const share = run.scenario().prompt_share(second + lead_seconds);
@@ -159,7 +160,7 @@
 }
 
 bench_score run_plan(workload load, bench_scenario scenario, std::uint64_t seed,
-                     role_plan const &plan)
+                     oracle_plan const &plan)
 {
     auto const engines = static_cast<double>(load.config.engines.size());
     auto const mixed = static_cast<int>(plan.mixed * engines);
@@ -192,11 +193,15 @@
     auto const begin = scenario.prompt_share(0);
     auto const middle =
         scenario.prompt_share(to_seconds(scenario.length) * 0.5);
-    std::vector<role_plan> const plans = {
-        {0, 1.0, 0},     {0, 0, (begin + middle) / 2},
-        {0.8, 0, begin}, {1.0, 0, begin},
-        {1.2, 0, begin}, {0, 0.5, (begin + middle) / 2}};
+    std::vector<oracle_plan> const plans = {
+        {"all mixed", 0, 1.0, 0},
+        {"static", 0, 0, (begin + middle) / 2},
+        {"follow 0.8", 0.8, 0, begin},
+        {"follow 1.0", 1.0, 0, begin},
+        {"follow 1.2", 1.2, 0, begin},
+        {"half mixed", 0, 0.5, (begin + middle) / 2}};
     bench_score best;
+    std::map<std::string, double> tried;
     // At most this many runs at a time share the machine.
     constexpr std::size_t parallel = 3;
     for (std::size_t i = 0; i < plans.size(); i += parallel)
@@ -207,15 +212,18 @@
             running.push_back(std::async(std::launch::async, run_plan, load,
                                          scenario, seed, plans[j]));
         }
+        std::size_t k = 0;
         for (auto &item : running)
         {
             auto score = item.get();
+            tried[plans.at(i + k++).name] = score.goodput;
             if (score.goodput > best.goodput)
             {
                 best = std::move(score);
             }
         }
     }
+    best.plans = std::move(tried);
     return best;
 }
 
--- /dev/null
+++ b/src/limit_callers.cpp
@@ -0,0 +1,145 @@
+#include "limit_callers.hpp"
+
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr duration count_interval = seconds(1);
+constexpr double demand_weight = 0.3;
+/// Demand below which a caller is forgotten, in requests a second.
+constexpr double idle_demand = 0.01;
+/// Part of an equal share that is granted whatever the peers report, so that a
+/// caller who moves to this daemon is not shut out.
+constexpr double min_equal_part = 0.25;
+
+std::string key_of(std::string const &caller, std::string const &class_name)
+{
+    return caller + "\n" + class_name;
+}
+
+int live_daemons(world const &w)
+{
+    return w.hooks.live_daemons > 0 ? w.hooks.live_daemons
+                                    : std::max(1, w.peers.live_daemons);
+}
+
+std::unordered_map<std::string, double> peer_demand(world const &w)
+{
+    std::unordered_map<std::string, double> out;
+    for (auto const &[name, peer] : w.peers.states)
+    {
+        if (peer.condition != peer_condition::live)
+        {
+            continue;
+        }
+        for (auto const &item : peer.demand)
+        {
+            out[key_of(item.caller, item.class_name)] +=
+                item.requests_per_second;
+        }
+    }
+    return out;
+}
+
+double share_of(double own, double others, int daemons)
+{
+    auto const equal = 1.0 / daemons;
+    if (others <= 0)
+    {
+        return equal;
+    }
+    auto const demanded = own / (own + others);
+    return std::max(demanded, min_equal_part * equal);
+}
+
+void publish_demand(world &w)
+{
+    w.peers.own_demand.clear();
+    for (auto const &[key, rate] : w.callers.rates)
+    {
+        w.peers.own_demand.push_back(
+            {rate.caller, rate.class_name, rate.requests_per_second});
+    }
+}
+
+void refill(caller_rate &rate, double limit, double burst, instant now)
+{
+    auto const most = std::max(1.0, burst * rate.share);
+    if (rate.tokens < 0)
+    {
+        rate.tokens = most;
+    }
+    else
+    {
+        auto const passed = to_seconds(now - rate.refilled_at);
+        rate.tokens = std::min(most, rate.tokens + passed * limit * rate.share);
+    }
+    rate.refilled_at = now;
+}
+
+} // namespace
+
+void limit_callers(world &w)
+{
+    auto const passed = w.now - w.callers.counted_at;
+    if (passed < count_interval)
+    {
+        return;
+    }
+    w.callers.counted_at = w.now;
+    auto const others = peer_demand(w);
+    for (auto &[key, rate] : w.callers.rates)
+    {
+        auto const seen = rate.requests / to_seconds(passed);
+        rate.requests = 0;
+        rate.requests_per_second +=
+            demand_weight * (seen - rate.requests_per_second);
+        auto const found = others.find(key);
+        rate.share = share_of(rate.requests_per_second,
+                              found == others.end() ? 0 : found->second,
+                              live_daemons(w));
+    }
+    std::erase_if(w.callers.rates,
+                  [&w](auto const &item)
+                  {
+                      return item.second.requests_per_second < idle_demand &&
+                             w.now - item.second.refilled_at > seconds(10);
+                  });
+    publish_demand(w);
+}
+
+bool within_limit(world &w, request_arrival const &arrival,
+                  request_class const &kind)
+{
+    auto const caller = std::ranges::find(w.config.callers, arrival.caller,
+                                          &caller_definition::name);
+    if (caller == w.config.callers.end() || caller->requests_per_second <= 0)
+    {
+        return true;
+    }
+    auto const [place, added] =
+        w.callers.rates.try_emplace(key_of(arrival.caller, kind.name));
+    auto &rate = place->second;
+    if (added)
+    {
+        rate.caller = arrival.caller;
+        rate.class_name = kind.name;
+        rate.share = 1.0 / live_daemons(w);
+    }
+    ++rate.requests;
+    refill(rate, caller->requests_per_second, caller->burst, w.now);
+    if (rate.tokens < 1)
+    {
+        return false;
+    }
+    rate.tokens -= 1;
+    return true;
+}
+
+} // namespace agateledge
--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -1,6 +1,7 @@
 #include "request_lifecycle.hpp"
 
 #include "claim_calls.hpp"
+#include "estimate_load.hpp"
 #include "internal_assert.hpp"
 #include "retry_requests.hpp"
 #include "world.hpp"
@@ -19,6 +20,7 @@
     auto &engine = w.engines.at(*attempt.engine);
     engine.own_requests += sign;
     engine.own_prefill_tokens += sign * attempt.counted_prefill_tokens;
+    engine.own_kv_tokens += sign * attempt.counted_kv_tokens;
     internal_assert(engine.own_requests >= 0, "engine ", engine.definition.name,
                     " has ", engine.own_requests, " open requests");
 }
@@ -90,13 +92,21 @@
 {
     auto attempt = new_attempt(w, request);
     attempt.engine = engine;
-    attempt.counted_prefill_tokens = request.arrival.prompt_tokens;
     // An engine can continue only an answer whose text is known; otherwise it
     // generates the answer again and the delivered part is dropped.
     if (request.text_offset > 0)
     {
         attempt.next_offset = 0;
     }
+    auto const &arrival = request.arrival;
+    attempt.backlog_tokens = estimate_load(w, engine).prefill_tokens;
+    // An imported KV cache leaves no prompt to compute.
+    attempt.counted_prefill_tokens =
+        request.kv_key.empty() ? arrival.prompt_tokens : 0;
+    attempt.counted_kv_tokens =
+        arrival.prompt_tokens +
+        static_cast<std::int64_t>(w.costs.expected_output(
+            request.kind.name, request.kind.expected_output_tokens));
     count_engine_load(w, attempt, 1);
     plan_progress_check(w, attempt.attempt);
     return w.attempts.add(std::move(attempt));
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -1,6 +1,7 @@
 #include "tick.hpp"
 
 #include "apply_configuration.hpp"
+#include "break_circuits.hpp"
 #include "check_invariants.hpp"
 #include "claim_calls.hpp"
 #include "dispatch_requests.hpp"
@@ -9,6 +10,8 @@
 #include "hedge_calls.hpp"
 #include "internal_assert.hpp"
 #include "issue_orders.hpp"
+#include "learn_costs.hpp"
+#include "limit_callers.hpp"
 #include "plan_role_changes.hpp"
 #include "propose_configuration.hpp"
 #include "receive_requests.hpp"
@@ -34,16 +37,19 @@
     follow_proposals(w);
     track_engines(w);
     stop_daemon(w);
+    learn_costs(w);
+    break_circuits(w);
+    plan_role_changes(w);
     renew_leases(w);
     issue_orders(w);
     follow_changes(w);
     forward_answers(w);
+    limit_callers(w);
     receive_requests(w);
     claim_calls(w);
     retry_requests(w);
     hedge_calls(w);
     dispatch_requests(w);
-    plan_role_changes(w);
     check_invariants(w);
     w.in = {};
 }
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -4,6 +4,7 @@
 #include "attempt_table.hpp"
 #include "caller_table.hpp"
 #include "candidate_index.hpp"
+#include "circuit_table.hpp"
 #include "claim_table.hpp"
 #include "configuration.hpp"
 #include "configuration_state.hpp"
@@ -23,10 +24,12 @@
 #include "order_table.hpp"
 #include "outbox.hpp"
 #include "peer_table.hpp"
+#include "prefix_view.hpp"
 #include "query_table.hpp"
 #include "random_source.hpp"
 #include "request_table.hpp"
 #include "retry_budget.hpp"
+#include "role_plan.hpp"
 #include "time.hpp"
 #include "usage_table.hpp"
 
@@ -85,6 +88,9 @@
     peer_table peers;
     caller_table callers;
     cost_table costs;
+    circuit_table circuits;
+    role_plan plan;
+    prefix_view prefixes;
     usage_table usage;
     query_table queries;
     counters totals;
