--- a/tools/latency_bench.cpp
+++ b/tools/latency_bench.cpp
@@ -290,6 +290,7 @@
 start_engines(std::string const &model, int count, bool slow)
 {
     std::vector<std::unique_ptr<bench_process>> engines;
+    engines.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
     {
         engines.push_back(start_engine(model, slow));
