Answer operators' statements: queries, transactions, dry run, why

Cause: parsed statements had no effect. Change: answer_operators runs in the tick. The fuzz of 30,000 texts found an assertion in x3::space for bytes above 127, which would have stopped the daemon; the blanks are now a character set. Conclusion: no listener takes statements yet; undo and history read config/revision rows and are tested only up to the call.

--- a/src/parse_statement.cpp
+++ b/src/parse_statement.cpp
@@ -98,8 +98,9 @@
     _pass(context) = _attr(context) <= largest_number;
 };
 
-auto const blank =
-    x3::space | x3::omit["--" >> *(char_ - x3::eol) >> (x3::eol | x3::eoi)];
+// x3::space asserts on bytes above 127, which the text may contain.
+auto const blank = char_(" \t\r\n\v\f") |
+                   x3::omit["--" >> *(char_ - x3::eol) >> (x3::eol | x3::eoi)];
 
 // Names and numbers.
 x3::rule<struct quoted_tag, std::string> const quoted = "text";
--- a/src/receive_requests.cpp
+++ b/src/receive_requests.cpp
@@ -1,5 +1,6 @@
 #include "receive_requests.hpp"
 
+#include "record_decision.hpp"
 #include "request_lifecycle.hpp"
 #include "world.hpp"
 
@@ -50,6 +51,7 @@
                     std::string message)
 {
     ++w.totals.refused_not_run;
+    record_step(w, arrival.request, decision_kind::refused, code);
     w.out.caller_replies.push_back({arrival.request, caller_reply_kind::refused,
                                     code, std::move(message)});
 }
--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -1,6 +1,7 @@
 #include "request_lifecycle.hpp"
 
 #include "internal_assert.hpp"
+#include "record_decision.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -83,6 +84,7 @@
     attempt.engine = engine;
     attempt.counted_prefill_tokens = request.arrival.prompt_tokens;
     count_engine_load(w, attempt, 1);
+    record_attempt(w, attempt.request, engine);
     return w.attempts.add(std::move(attempt));
 }
 
@@ -92,6 +94,7 @@
     auto attempt = new_attempt(w, request);
     attempt.endpoint = endpoint;
     ++w.endpoints.at(endpoint).own_requests;
+    record_attempt(w, attempt.request, endpoint);
     return w.attempts.add(std::move(attempt));
 }
 
@@ -129,6 +132,7 @@
         end_attempt(w, *request->attempt);
     }
     count_refusal(w, code);
+    record_step(w, number, decision_kind::refused, code);
     w.out.caller_replies.push_back(
         {number, caller_reply_kind::refused, code, std::move(message)});
     w.requests.erase(number);
@@ -140,6 +144,7 @@
     internal_assert(request != nullptr, "end of ended request ",
                     number.value());
     ++w.totals.answered;
+    record_step(w, number, decision_kind::finished, result_code::ok);
     w.totals.answered_in_time += in_time(w, *request) ? 1 : 0;
     w.requests.erase(number);
 }
@@ -147,6 +152,8 @@
 void requeue_request(world &w, request_state &request)
 {
     request.phase = request_phase::waiting;
+    record_step(w, request.arrival.request, decision_kind::requeued,
+                result_code::ok);
     w.waiting.push_front(request.arrival.request);
 }
 
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -1,5 +1,6 @@
 #include "tick.hpp"
 
+#include "answer_operators.hpp"
 #include "apply_configuration.hpp"
 #include "check_invariants.hpp"
 #include "claim_calls.hpp"
@@ -38,6 +39,7 @@
     claim_calls(w);
     dispatch_requests(w);
     plan_role_changes(w);
+    answer_operators(w);
     check_invariants(w);
     w.in = {};
 }
--- a/test/error/statement_faults_test.cpp
+++ b/test/error/statement_faults_test.cpp
@@ -47,6 +47,7 @@
     {"drop service \"a", "line 1, column 16", "a closing quote"},
     {"drain engine \"Kérity\" now", "line 1, column 23",
      "the end of the statement"},
+    {"\xc3\xa9 engines", "line 1, column 1", "a statement"},
     {"why", "line 1, column 4", "\"request\""},
     {"undo", "line 1, column 5", "\"revision\""},
     {"dry run show engines", "line 1, column 9", "a change, an order"},
