Add the operators' listener

Cause: statements had no way into a daemon. Change: operator_listener takes POST /v1/statements and /v1/log-level with an operator's bearer token and serves /healthz (503 while draining) and /metrics. It listens when the settings name operators. Conclusion: TLS, ctl, the client side and latency metrics of requests are missing.

--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -35,7 +35,8 @@
       table_(http_, loop_, config_.table_address, config_.store),
       peer_listener_(state_, loop_, peer_keys_),
       peer_client_(state_.identity, http_, loop_, peer_keys_),
-      membership_(http_, loop_, config_.membership_address, seed)
+      membership_(http_, loop_, config_.membership_address, seed),
+      operators_(state_, loop_, config_.operators)
 {
     install_handlers();
     install_peer_handlers();
@@ -65,6 +66,8 @@
     handlers.call_table = [this](table_call const &call) { table_.call(call); };
     handlers.send_order = [this](order_call const &call)
     { engines_.send_order(call); };
+    handlers.reply_to_operator = [this](operator_reply const &answer)
+    { operators_.reply(answer); };
     callers_.on_hold = [this](std::string const &key, bool hold)
     { engines_.hold_stream(key, hold); };
     engines_.is_held = [this](std::string const &key)
@@ -121,6 +124,10 @@
     use_initial_configuration(state_, config_.initial);
     auto listening = callers_.start(config_.caller_address, config_.caller_tls);
     listening.Update(start_peers());
+    if (!config_.operators.empty())
+    {
+        listening.Update(operators_.start(config_.operator_address));
+    }
     if (listening.ok())
     {
         loop_.input();
--- a/src/daemon_process.hpp
+++ b/src/daemon_process.hpp
@@ -8,6 +8,7 @@
 #include "http_client.hpp"
 #include "ids.hpp"
 #include "membership_client.hpp"
+#include "operator_listener.hpp"
 #include "peer_client.hpp"
 #include "peer_listener.hpp"
 #include "service_client.hpp"
@@ -59,6 +60,9 @@
     /// Listener for other daemons; listens only with a file of peer keys.
     peer_listener &peers() { return peer_listener_; }
 
+    /// Listener for operators; listens only when the settings name one.
+    operator_listener &operators() { return operators_; }
+
     /// Called once the shutdown has finished.
     std::function<void()> on_stopped;
 
@@ -83,6 +87,7 @@
     peer_listener peer_listener_;
     peer_client peer_client_;
     membership_client membership_;
+    operator_listener operators_;
     unsigned stop_timer_ = 0;
 };
 
