--- a/test/correctness/operator_listener_test.cpp
+++ b/test/correctness/operator_listener_test.cpp
@@ -44,7 +44,7 @@
         return got.value_or(http_reply{});
     }
 
-    http_reply post(std::string token, std::string body)
+    http_reply post(std::string const &token, std::string body)
     {
         http_request request;
         request.method = "POST";
