--- a/src/receive_requests.cpp
+++ b/src/receive_requests.cpp
@@ -2,6 +2,7 @@
 
 #include "claim_calls.hpp"
 #include "limit_callers.hpp"
+#include "record_decision.hpp"
 #include "request_lifecycle.hpp"
 #include "world.hpp"
 
@@ -52,6 +53,7 @@
                     std::string message)
 {
     ++w.totals.refused_not_run;
+    record_step(w, arrival.request, decision_kind::refused, code);
     w.out.caller_replies.push_back({arrival.request, caller_reply_kind::refused,
                                     code, std::move(message)});
 }
--- a/src/request_lifecycle.cpp
+++ b/src/request_lifecycle.cpp
@@ -3,6 +3,7 @@
 #include "claim_calls.hpp"
 #include "estimate_load.hpp"
 #include "internal_assert.hpp"
+#include "record_decision.hpp"
 #include "retry_requests.hpp"
 #include "world.hpp"
 
@@ -109,6 +110,7 @@
             request.kind.name, request.kind.expected_output_tokens));
     count_engine_load(w, attempt, 1);
     plan_progress_check(w, attempt.attempt);
+    record_attempt(w, attempt.request, engine);
     return w.attempts.add(std::move(attempt));
 }
 
@@ -122,6 +124,7 @@
     attempt.attached = true;
     count_engine_load(w, attempt, 1);
     plan_progress_check(w, attempt.attempt);
+    record_attempt(w, attempt.request, engine);
     return w.attempts.add(std::move(attempt));
 }
 
@@ -131,6 +134,7 @@
     auto attempt = new_attempt(w, request);
     attempt.endpoint = endpoint;
     ++w.endpoints.at(endpoint).own_requests;
+    record_attempt(w, attempt.request, endpoint);
     return w.attempts.add(std::move(attempt));
 }
 
@@ -190,6 +194,7 @@
     end_attempts(w, *request);
     settle_unanswered(w, number);
     count_refusal(w, *request, code);
+    record_step(w, number, decision_kind::refused, code);
     w.out.caller_replies.push_back(
         {number, caller_reply_kind::refused, code, std::move(message)});
     w.requests.erase(number);
@@ -202,6 +207,7 @@
                     number.value());
     end_attempts(w, *request);
     ++w.totals.answered;
+    record_step(w, number, decision_kind::finished, result_code::ok);
     w.totals.answered_in_time += in_time(w, *request) ? 1 : 0;
     w.requests.erase(number);
 }
@@ -209,6 +215,8 @@
 void requeue_request(world &w, request_state &request)
 {
     request.phase = request_phase::waiting;
+    record_step(w, request.arrival.request, decision_kind::requeued,
+                result_code::ok);
     w.waiting.push_front(request.arrival.request);
 }
 
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -1,5 +1,6 @@
 #include "tick.hpp"
 
+#include "answer_operators.hpp"
 #include "apply_configuration.hpp"
 #include "break_circuits.hpp"
 #include "check_invariants.hpp"
@@ -50,6 +51,7 @@
     retry_requests(w);
     hedge_calls(w);
     dispatch_requests(w);
+    answer_operators(w);
     check_invariants(w);
     w.in = {};
 }
