--- a/src/claim_calls.cpp
+++ b/src/claim_calls.cpp
@@ -59,8 +59,13 @@
     std::uint64_t incarnation = 0;
     std::from_chars(attempt.data() + middle + 1, attempt.data() + last,
                     incarnation);
-    return attempt.substr(0, middle) == w.identity.name &&
-           incarnation < w.identity.incarnation.value();
+    auto const name = attempt.substr(0, middle);
+    auto const peer = w.peers.states.find(name);
+    auto const known = name == w.identity.name ? w.identity.incarnation
+                       : peer == w.peers.states.end()
+                           ? incarnation_number()
+                           : peer->second.incarnation;
+    return incarnation < known.value();
 }
 
 table_call call_of(claim_state const &claim)
