Admit resumed requests without limits or expiry

Change: a resumed request counts as accepted and is not counted against limits. Conclusion: part of the cause; the rest is being traced.

--- a/src/receive_requests.cpp
+++ b/src/receive_requests.cpp
@@ -71,6 +71,8 @@
         state.delivered_tokens = arrival.resume->offset + shift;
         state.text_offset = state.delivered_tokens;
         state.reattach = *arrival.resume;
+        // Another daemon accepted the request, so it keeps its whole answer.
+        state.accepted = true;
     }
     state.arrival = std::move(arrival);
     auto const number = state.arrival.request;
@@ -114,7 +116,7 @@
                        "a non-idempotent call needs an Idempotency-Key");
         return;
     }
-    if (!within_limit(w, arrival, *kind))
+    if (!arrival.resume && !within_limit(w, arrival, *kind))
     {
         refuse_arrival(w, arrival, result_code::caller_limit,
                        "caller \"" + arrival.caller +
