Refuse a configuration index without sections

Cause: the randomised run wrote whole documents where the daemons now expect an index; a daemon read one as an index without sections, put an empty configuration in force and refused every request for an unknown model. Ruled out: admission and limits (the refusals were unknown_model for 150 s). Change: an index needs the section "base"; the run stores its configuration through store_configuration. Conclusion: a damaged row leaves the last configuration in force.

--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -4,6 +4,7 @@
 #include "configuration_head.hpp"
 #include "configuration_json.hpp"
 #include "propose_configuration.hpp"
+#include "store_configuration.hpp"
 #include "tick.hpp"
 #include "track_peers.hpp"
 
@@ -143,13 +144,11 @@
 
 void virtual_deployment::store_configuration()
 {
-    configuration_head head;
-    head.revision = config_.revision;
-    head.attempt = "operator";
+    section_documents documents;
+    auto const index = split_configuration(config_, documents);
     table_call call;
-    call.puts = {
-        {configuration_head_key, configuration_head_to_text(head)},
-        {revision_key(config_.revision), configuration_to_json(config_)}};
+    agateledge::store_configuration(call, configuration_state(), index,
+                                    documents, "harness");
     table_.apply(call);
 }
 
--- a/src/configuration_sections.cpp
+++ b/src/configuration_sections.cpp
@@ -179,6 +179,12 @@
         return make_status(result_code::settings_invalid,
                            std::string("configuration index: ") + error.what());
     }
+    // A document without sections would put an empty configuration in force.
+    if (!out.sections.contains("base"))
+    {
+        return make_status(result_code::settings_invalid,
+                           "configuration index: section base is missing");
+    }
     return out;
 }
 
--- a/test/correctness/configuration_sections_test.cpp
+++ b/test/correctness/configuration_sections_test.cpp
@@ -80,6 +80,14 @@
     EXPECT_LT(bytes, most_bytes);
 }
 
+// Guards against an empty configuration in force, after which every request was
+// refused for an unknown model, when the row holds another kind of document.
+TEST(configuration_sections, an_index_without_sections_is_refused)
+{
+    EXPECT_FALSE(configuration_index_from_json(R"({"revision":3})").ok());
+    EXPECT_FALSE(configuration_index_from_json("[]").ok());
+}
+
 TEST(configuration_sections, a_missing_section_is_refused)
 {
     section_documents documents;
