--- a/tools/authority_bench.cpp
+++ b/tools/authority_bench.cpp
@@ -6,7 +6,6 @@
 #include "virtual_deployment.hpp"
 
 #include <algorithm>
-#include <cstdio>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -23,8 +22,10 @@
 
 std::vector<std::string> data_centres_of(int data_centres, int daemons_each)
 {
+    auto const count = data_centres * daemons_each;
     std::vector<std::string> names;
-    for (int i = 0; i < data_centres * daemons_each; ++i)
+    names.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
     {
         names.push_back("dc-" + std::to_string(i % data_centres));
     }
