--- a/src/run_command_line.cpp
+++ b/src/run_command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "command_options.hpp"
 #include "run_check.hpp"
+#include "run_ctl.hpp"
 #include "run_dev.hpp"
 #include "run_serve.hpp"
 
@@ -29,6 +30,7 @@
     subcommand{"serve", "runs one entry daemon", run_serve},
     subcommand{"dev", "runs daemons, stand-ins and a load in one process",
                run_dev},
+    subcommand{"ctl", "sends an operator's statement to a daemon", run_ctl},
     subcommand{"check", "checks a settings file", run_check},
 };
 
