Run all benches by make bench

Cause: make bench left out the authority and the policy bench. Change: run-bench.sh runs the four benches in turn.

--- a/tools/run-bench.sh
+++ b/tools/run-bench.sh
@@ -1,8 +1,12 @@
 #!/usr/bin/env bash
-# Runs the benchmarks: added latency, policy bench and capacity slopes.
+# Runs the benchmarks: added latency, capacity slopes, takeover and spread of a
+# revision, and the product's policy on both deployments.
 set -eu
 build=$1
-for program in latency_bench capacity_bench; do
-    [ -x "$build/$program" ] && "$build/$program"
+"$build/latency_bench"
+"$build/capacity_bench"
+"$build/authority_bench"
+for deployment in kerbrat bellhaven; do
+    "$build/policy_bench" --deployment "$deployment" --policy product \
+        --seed 1 --format json
 done
-exit 0
