Repair undo after the split, stop by stop_ready, and share code

Cause: a read of the whole change showed four things. undo read a revision's row as a whole document, although the row is an index of sections, so that it refused every undo. daemon_process judged the end of a shutdown by a rule of its own beside stop_daemon's, without the wait for outcome writes. Conclusion: the shutdown rule and the mapping stand once.

--- a/harness/virtual_deployment.cpp
+++ b/harness/virtual_deployment.cpp
@@ -20,20 +20,6 @@
 /// Name of the platform among data centres.
 constexpr char const *platform = "platform";
 
-standin_engine_options options_for(engine_definition const &definition,
-                                   std::uint64_t seed)
-{
-    standin_engine_options options;
-    options.name = definition.name;
-    options.model = definition.model;
-    options.model_version = definition.model_version;
-    options.role = definition.role;
-    options.checks_fencing = definition.checks_fencing;
-    options.kv_capacity_tokens = definition.kv_capacity_tokens;
-    options.seed = seed;
-    return options;
-}
-
 engine_event to_engine_event(attempt_number attempt, standin_event event)
 {
     engine_event out;
@@ -76,7 +62,7 @@
     {
         auto &engine = engines_[definition.name];
         engine.model = std::make_unique<standin_engine>(
-            options_for(definition, random_()));
+            standin_options_of(definition, random_()));
         engine.data_centre = definition.data_centre;
     }
     for (auto const &data_centre : daemons)
--- a/src/answer_operators.cpp
+++ b/src/answer_operators.cpp
@@ -2,7 +2,8 @@
 
 #include "apply_statement.hpp"
 #include "call_table.hpp"
-#include "configuration_json.hpp"
+#include "configuration_head.hpp"
+#include "configuration_sections.hpp"
 #include "describe_effects.hpp"
 #include "engine_order.hpp"
 #include "explain_decision.hpp"
@@ -105,7 +106,7 @@
     for (; revision > 0 && call.keys.size() < std::min(limit, max_history);
          --revision)
     {
-        call.keys.push_back("config/revision/" + std::to_string(revision));
+        call.keys.push_back(revision_key(revision_number(revision)));
     }
     return call;
 }
@@ -240,7 +241,7 @@
             return;
         }
         table_call call;
-        call.keys.push_back("config/revision/" + std::to_string(current - 1));
+        call.keys.push_back(revision_key(revision_number(current - 1)));
         read_rows(w_, request_, undo, std::move(call));
     }
 
@@ -296,17 +297,50 @@
     std::visit(statement_runner(w, request), *parsed);
 }
 
+void refuse_undo(world &w, pending_statement const &pending)
+{
+    reply(w, pending.request.call, result_code::invalid_change,
+          "the table service has no document of the earlier revision");
+}
+
+/// Reads the sections of the earlier revision.
+void read_sections(world &w, pending_statement pending, table_row const &row)
+{
+    auto index = configuration_index_from_json(row.value);
+    if (!index.ok())
+    {
+        refuse_undo(w, pending);
+        return;
+    }
+    table_call call;
+    for (auto const &[name, digest] : index->sections)
+    {
+        call.keys.push_back(section_key(digest));
+    }
+    pending.index = *std::move(index);
+    w.queries.wait(call_table(w, table_owner::operators, std::move(call)),
+                   std::move(pending));
+}
+
 void continue_undo(world &w, pending_statement const &pending,
                    std::vector<table_row> const &rows)
 {
-    auto const earlier = rows.empty()
-                             ? absl::StatusOr<configuration>(make_status(
-                                   result_code::invalid_change, "no such row"))
-                             : configuration_from_json(rows.front().value);
-    if (!earlier.ok() || earlier->services.empty())
+    if (!pending.index)
+    {
+        read_sections(w, pending, rows.at(0));
+        return;
+    }
+    section_documents documents;
+    for (auto const &row : rows)
+    {
+        documents.insert_or_assign(
+            section_digest(row.value),
+            std::make_shared<std::string const>(row.value));
+    }
+    auto const earlier = join_configuration(*pending.index, documents);
+    if (!earlier.ok())
     {
-        reply(w, pending.request.call, result_code::invalid_change,
-              "the table service has no document of the earlier revision");
+        refuse_undo(w, pending);
         return;
     }
     statement_runner(w, pending.request)
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -2,7 +2,6 @@
 
 #include "apply_configuration.hpp"
 #include "json_log.hpp"
-#include "renew_leases.hpp"
 #include "track_peers.hpp"
 
 #include <glib.h>
@@ -69,6 +68,7 @@
     { engines_.send_order(call); };
     handlers.reply_to_operator = [this](operator_reply const &answer)
     { operators_.reply(answer); };
+    handlers.stop = [this] { stop_ready_ = true; };
     callers_.on_hold = [this](std::string const &key, bool hold)
     { engines_.hold_stream(key, hold); };
     engines_.is_held = [this](std::string const &key)
@@ -150,7 +150,6 @@
     {
         return;
     }
-    state_.draining = true;
     loop_.input().shutdown = true;
     stop_timer_ = g_timeout_add(
         stop_check_interval_ms,
@@ -164,8 +163,7 @@
 
 void daemon_process::check_stopped()
 {
-    if (state_.requests.size() == 0 && callers_.open_exchanges() == 0 &&
-        leases_released(state_) && on_stopped)
+    if (stop_ready_ && callers_.open_exchanges() == 0 && on_stopped)
     {
         std::exchange(on_stopped, {})();
     }
--- a/src/daemon_process.hpp
+++ b/src/daemon_process.hpp
@@ -89,6 +89,8 @@
     membership_client membership_;
     operator_listener operators_;
     unsigned stop_timer_ = 0;
+    /// True once the tick has reported the end of the shutdown.
+    bool stop_ready_ = false;
 };
 
 } // namespace agateledge
--- a/src/query_table.hpp
+++ b/src/query_table.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_QUERY_TABLE_HPP
 #define AGATELEDGE_QUERY_TABLE_HPP
 
+#include "configuration_sections.hpp"
 #include "decision_ring.hpp"
 #include "ids.hpp"
 #include "inbox.hpp"
@@ -20,6 +21,8 @@
 {
     operator_request request;
     statement parsed;
+    /// Index of the earlier revision while an undo reads its sections.
+    std::optional<configuration_index> index;
 };
 
 /// Calls of operators that wait for an answer, and what the answers are made
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -31,6 +31,20 @@
 
 } // namespace
 
+standin_engine_options standin_options_of(engine_definition const &definition,
+                                          std::uint64_t seed)
+{
+    standin_engine_options options;
+    options.name = definition.name;
+    options.model = definition.model;
+    options.model_version = definition.model_version;
+    options.role = definition.role;
+    options.checks_fencing = definition.checks_fencing;
+    options.kv_capacity_tokens = definition.kv_capacity_tokens;
+    options.seed = seed;
+    return options;
+}
+
 standin_engine::standin_engine(standin_engine_options options)
     : options_(std::move(options))
 {
--- a/src/standin_engine.hpp
+++ b/src/standin_engine.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_STANDIN_ENGINE_HPP
 #define AGATELEDGE_STANDIN_ENGINE_HPP
 
+#include "engine_definition.hpp"
 #include "engine_order.hpp"
 #include "inbox.hpp"
 #include "time.hpp"
@@ -50,6 +51,12 @@
     std::uint64_t seed = 1;
 };
 
+/// @param definition engine that the stand-in takes the place of
+/// @param seed seed of the stand-in's random choices
+/// @return options with the default speeds
+standin_engine_options standin_options_of(engine_definition const &definition,
+                                          std::uint64_t seed);
+
 /// Work sent to an engine stand-in.
 struct standin_work
 {
--- a/src/standin_fleet.cpp
+++ b/src/standin_fleet.cpp
@@ -28,20 +28,6 @@
     return status;
 }
 
-standin_engine_options options_of(engine_definition const &definition,
-                                  std::uint64_t seed)
-{
-    standin_engine_options options;
-    options.name = definition.name;
-    options.model = definition.model;
-    options.model_version = definition.model_version;
-    options.role = definition.role;
-    options.checks_fencing = definition.checks_fencing;
-    options.kv_capacity_tokens = definition.kv_capacity_tokens;
-    options.seed = seed;
-    return options;
-}
-
 } // namespace
 
 standin_fleet::standin_fleet(std::uint64_t seed)
@@ -86,7 +72,7 @@
     for (auto &definition : value.initial.engines)
     {
         auto server = std::make_unique<standin_engine_server>(
-            options_of(definition, ++seed_));
+            standin_options_of(definition, ++seed_));
         auto status = listen(*server, definition.address, free_ports);
         if (!status.ok())
         {
--- a/test/process/operator_change_test.py
+++ b/test/process/operator_change_test.py
@@ -1,5 +1,6 @@
 """Guards against a change that is accepted at one daemon and not in force at
-the others within 10 s, and against two racing changes that both succeed."""
+the others within 10 s, against an undo that cannot read the earlier revision,
+and against two racing changes that both succeed."""
 
 import json
 import os
@@ -59,6 +60,12 @@
         assert answer.returncode == 0, answer
         for index in range(2):
             wait_for_state(deployment, index, "engine-0", "draining")
+        drained = revision(deployment, 0)
+        answer = ctl(deployment, 1, "undo revision %d" % drained)
+        assert answer.returncode == 0, answer
+        for index in range(2):
+            wait_for_state(deployment, index, "engine-0", "ready")
+            wait_for_revision(deployment, index, drained + 1)
         before = revision(deployment, 0)
         answers = [None, None]
 
