--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points of the project; CMake does the building.
 BUILD := build/release
-SOURCES = $(wildcard src/*.cpp harness/*.cpp tools/*.cpp tutorial/*.cpp test/*/*.cpp)
-HEADERS = $(wildcard src/*.hpp harness/*.hpp test/*/*.hpp)
+SOURCES = $(wildcard src/*.cpp platform/*.cpp harness/*.cpp tools/*.cpp tutorial/*.cpp test/*/*.cpp)
+HEADERS = $(wildcard src/*.hpp platform/*.hpp harness/*.hpp test/*/*.hpp)
 
 .PHONY: build install-packages demo test test-built bench lint format format-check sanitize clean
 
--- /dev/null
+++ b/src/admit_relays.cpp
@@ -0,0 +1,122 @@
+#include "admit_relays.hpp"
+
+#include "log_relay.hpp"
+#include "relay_lifecycle.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Wait of callers while this daemon does not know the configuration yet.
+constexpr duration unready_retry_after = milliseconds(500);
+
+std::string choose_service(world &w, route_definition const &route)
+{
+    auto const total =
+        std::accumulate(route.services.begin(), route.services.end(), 0.0,
+                        [](double sum, weighted_service const &item)
+                        { return sum + item.weight; });
+    auto point = w.random.uniform() * total;
+    auto const chosen =
+        std::ranges::find_if(route.services,
+                             [&point](weighted_service const &item)
+                             {
+                                 point -= item.weight;
+                                 return point < 0;
+                             });
+    return chosen == route.services.end() ? std::string() : chosen->service;
+}
+
+/// @return the route, kept alive with its configuration
+std::shared_ptr<route_definition const> route_of(world const &w,
+                                                 relay_request const &content)
+{
+    auto const *route =
+        find_route(*w.relay.routing, content.host, content.path());
+    return {w.relay.routing, route};
+}
+
+void admit(world &w, relay_arrival const &arrival)
+{
+    relay_state_entry entry;
+    entry.number = arrival.request;
+    entry.content = arrival.content;
+    entry.arrived_at = arrival.arrived_at;
+    entry.last_event = arrival.content->resume_after;
+    entry.expires_at = instant::max();
+    entry.route = route_of(w, *arrival.content);
+    auto &request = w.relay.requests.add(std::move(entry));
+    if (!request.route)
+    {
+        bool const known = w.relay.routing->version != 0;
+        refuse_relay(w, arrival.request,
+                     known ? result_code::unknown_route
+                           : result_code::configuration_stale,
+                     known ? "no route matches the host and path"
+                           : "the configuration is not known yet",
+                     known ? std::nullopt : std::optional(unready_retry_after));
+        return;
+    }
+    auto const &route = *request.route;
+    request.expires_at =
+        arrival.arrived_at +
+        std::min(arrival.content->patience.value_or(route.timeout),
+                 route.timeout);
+    request.service = choose_service(w, route);
+    if (arrival.content->prompt)
+    {
+        request.chain = shared_chain_of(*arrival.content->prompt);
+    }
+    w.relay.budgets[request.service].count_request(w.now);
+    w.relay.expiries.add(request.expires_at, arrival.request);
+    w.relay.waiting.push_back(arrival.request);
+    log_request(w, log_level::debug, request, "request_admitted",
+                {{"service", request.service},
+                 {"configuration", std::to_string(w.relay.routing->version)},
+                 {"time_ms", milliseconds_text(request.expires_at - w.now)}});
+}
+
+void leave(world &w, relay_departure const &departure)
+{
+    auto *request = w.relay.requests.find(departure.request);
+    if (request == nullptr)
+    {
+        return;
+    }
+    if (request->attempt)
+    {
+        cancel_attempt(w, *request->attempt, call_result::neutral);
+    }
+    release_kept_prefill(w, *request);
+    log_request(w, log_level::info, *request, "caller_left",
+                {{"runs", std::to_string(request->runs)},
+                 {"answering", request->answering ? "true" : "false"}});
+    ++w.relay.metrics.requests["caller_left"];
+    std::erase(w.relay.waiting, departure.request);
+    w.relay.requests.erase(departure.request);
+}
+
+} // namespace
+
+void admit_relays(world &w)
+{
+    if (!w.relay.enabled)
+    {
+        return;
+    }
+    std::ranges::for_each(w.in.relay_arrivals,
+                          [&w](relay_arrival const &arrival)
+                          { admit(w, arrival); });
+    std::ranges::for_each(w.in.relay_departures,
+                          [&w](relay_departure const &departure)
+                          { leave(w, departure); });
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/choose_instance.cpp
@@ -0,0 +1,196 @@
+#include "choose_instance.hpp"
+
+#include "world.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <vector>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Time that the transfer of a KV cache to a decode engine adds: two more
+/// calls' set-up and the transfer of a long prompt.
+constexpr duration handover_time = milliseconds(35);
+
+/// Cost of a place further down the home ranking, so that daemons that leave
+/// the home of a prompt go to the same engine.
+constexpr duration rank_cost = milliseconds(3);
+/// Ranks beyond this one cost the same.
+constexpr int last_rank = 8;
+
+/// Cost of sending to another data centre: the round trip of the request and
+/// of its answer, and the bytes between data centres.
+constexpr duration remote_cost = milliseconds(4);
+
+/// Weight of reading shared parts again: besides this request it delays the
+/// ones behind it, and it displaces other parts from the cache.
+constexpr double reread_weight = 1.3;
+
+/// An engine in decode role reads at half the speed of one in prefill role and
+/// gets half as many homes.
+constexpr double prefill_home_weight = 2;
+
+struct candidate
+{
+    instance_state const *instance = nullptr;
+    first_event_prediction prediction;
+    duration cost{};
+    int rank = 0;
+};
+
+double home_score(std::uint64_t key, instance_state const &instance)
+{
+    auto const &id = instance.definition.id;
+    auto const bits = XXH3_64bits_withSeed(id.data(), id.size(), key);
+    auto const uniform = (static_cast<double>(bits >> 11) + 0.5) * 0x1p-53;
+    auto const weight = instance.definition.role == engine_role::prefill
+                            ? prefill_home_weight
+                            : 1.0;
+    return -std::log(uniform) / weight;
+}
+
+bool may_take(world const &w, relay_state_entry const &request,
+              instance_state const &instance)
+{
+    auto const &definition = instance.definition;
+    bool const decoding = request.kept || request.prefill_failed ||
+                          !request.last_event.empty() ||
+                          request.content->prompt == std::nullopt;
+    bool const role_fits = definition.role != engine_role::prefill || !decoding;
+    return definition.accepts_work && !instance.address_taken && role_fits &&
+           !(w.now < instance.health.avoided_until);
+}
+
+/// Instances that may take the request. Those that it was sent to, and those
+/// that are avoided, are used only when there are no others.
+std::vector<candidate> candidates_of(world const &w,
+                                     relay_state_entry const &request)
+{
+    std::vector<candidate> fresh;
+    std::vector<candidate> rest;
+    for (auto const &id : w.relay.instances.of_service(request.service))
+    {
+        auto const &instance = *w.relay.instances.find(id);
+        bool const tried =
+            std::ranges::find(request.tried, id) != request.tried.end();
+        if (!may_take(w, request, instance))
+        {
+            continue;
+        }
+        (tried ? rest : fresh).push_back({&instance, {}, {}, 0});
+    }
+    return fresh.empty() ? rest : fresh;
+}
+
+void rank_homes(relay_state_entry const &request,
+                std::vector<candidate> &candidates)
+{
+    if (request.chain.empty())
+    {
+        return;
+    }
+    auto const key = request.chain.back().hash;
+    std::vector<std::pair<double, candidate *>> scores;
+    std::ranges::transform(
+        candidates, std::back_inserter(scores),
+        [key](candidate &item)
+        { return std::pair(home_score(key, *item.instance), &item); });
+    std::ranges::sort(scores, {}, &std::pair<double, candidate *>::first);
+    int rank = 0;
+    for (auto const &[score, item] : scores)
+    {
+        item->rank = std::min(rank++, last_rank);
+    }
+}
+
+/// @return wait of the least loaded engine in decode role
+duration least_decode_wait(world const &w, relay_state_entry const &request,
+                           std::vector<candidate> const &candidates)
+{
+    duration least = duration::max();
+    for (auto const &item : candidates)
+    {
+        if (item.instance->definition.role != engine_role::prefill)
+        {
+            auto const wait =
+                predict_first_event(w, request, *item.instance, false).wait;
+            least = std::min(least, wait);
+        }
+    }
+    return least;
+}
+
+void set_cost(world &w, relay_state_entry const &request, candidate &item)
+{
+    bool const home = item.rank == 0 && !request.chain.empty();
+    item.prediction =
+        predict_first_event(w, request, *item.instance, home && !request.kept);
+    auto &prediction = item.prediction;
+    if (request.kept)
+    {
+        prediction.unread_tokens = 0;
+        prediction.time = prediction.wait + handover_time;
+    }
+    auto const speed = prefill_tokens_per_ms(w, *item.instance);
+    auto const shared = request.chain.empty() ? 0 : request.chain.back().tokens;
+    auto const again =
+        request.kept ? 0 : std::max(shared - prediction.cached_tokens, 0);
+    item.cost = prediction.time +
+                from_seconds((reread_weight - 1) * again / speed / 1e3) +
+                rank_cost * item.rank;
+    if (item.instance->definition.data_centre != w.identity.data_centre)
+    {
+        item.cost += remote_cost;
+    }
+    // Daemons that see the same state must not all choose the same instance.
+    item.cost += from_seconds(to_seconds(rank_cost) * w.random.uniform());
+}
+
+} // namespace
+
+std::optional<instance_choice> choose_instance(world &w,
+                                               relay_state_entry const &request)
+{
+    auto candidates = candidates_of(w, request);
+    rank_homes(request, candidates);
+    std::ranges::for_each(candidates,
+                          [&](candidate &item) { set_cost(w, request, item); });
+    auto const decode_wait = least_decode_wait(w, request, candidates);
+    for (auto &item : candidates)
+    {
+        if (item.instance->definition.role != engine_role::prefill)
+        {
+            continue;
+        }
+        item.cost = decode_wait == duration::max()
+                        ? duration::max()
+                        : item.cost + decode_wait + handover_time;
+    }
+    std::ranges::sort(candidates, {}, &candidate::cost);
+    if (candidates.empty() || candidates.front().cost == duration::max())
+    {
+        return std::nullopt;
+    }
+    auto const &best = candidates.front();
+    instance_choice out;
+    out.instance = best.instance->definition.id;
+    bool const prefill = best.instance->definition.role == engine_role::prefill;
+    out.stage = prefill ? relay_stage::prefill : relay_stage::run;
+    out.prediction = best.prediction;
+    if (prefill)
+    {
+        out.prediction.time += decode_wait + handover_time;
+    }
+    out.candidates = static_cast<int>(candidates.size());
+    out.runner_up = candidates.size() > 1 ? candidates[1].cost : duration(0);
+    return out;
+}
+
+} // namespace agateledge
--- a/src/daemon_loop.cpp
+++ b/src/daemon_loop.cpp
@@ -122,6 +122,12 @@
     each(out.peer_calls, handlers.call_peer);
     each(out.configuration_fetches, handlers.fetch_configuration);
     each(out.operator_replies, handlers.reply_to_operator);
+    each(out.relay_answers, handlers.answer_relay);
+    each(out.relay_cancels, handlers.cancel_relay);
+    each(out.relay_calls, handlers.call_instance);
+    each(out.kv_releases, handlers.release_kv);
+    each(out.row_reads, handlers.read_rows);
+    each(out.daemon_row_writes, handlers.write_daemon_row);
     if (out.stop_ready && handlers.stop)
     {
         handlers.stop();
--- a/src/daemon_loop.hpp
+++ b/src/daemon_loop.hpp
@@ -25,6 +25,12 @@
     std::function<void(peer_call const &)> call_peer;
     std::function<void(configuration_fetch const &)> fetch_configuration;
     std::function<void(operator_reply const &)> reply_to_operator;
+    std::function<void(relay_answer const &)> answer_relay;
+    std::function<void(relay_cancel const &)> cancel_relay;
+    std::function<void(relay_call const &)> call_instance;
+    std::function<void(kv_release const &)> release_kv;
+    std::function<void(row_read const &)> read_rows;
+    std::function<void(daemon_row_write const &)> write_daemon_row;
     /// Runs after all replies of a tick, so that they can be sent together.
     std::function<void()> flush_replies;
     std::function<void()> stop;
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -141,7 +141,15 @@
 {
     auto keys = load_keys();
     auto certificate = callers_.gate().reload_certificate();
-    return keys.ok() ? certificate : keys;
+    auto const status = keys.ok() ? certificate : keys;
+    if (!status.ok())
+    {
+        write_log_line(config_.name,
+                       {log_level::error,
+                        "reload_failed",
+                        {{"fault", std::string(status.message())}}});
+    }
+    return status;
 }
 
 void daemon_process::shut_down()
--- a/src/daemon_process.hpp
+++ b/src/daemon_process.hpp
@@ -46,7 +46,10 @@
     /// @return `settings_invalid` when a setting cannot be used
     absl::Status start();
 
-    /// Reads keys and certificates again. The old ones stay on a failure.
+    /// Reads keys and certificates again. The old ones stay on a failure, which
+    /// is logged.
+    ///
+    /// @return what failed
     absl::Status reload();
 
     /// Begins a graceful shutdown; `on_stopped` runs at its end.
--- /dev/null
+++ b/src/event_text.cpp
@@ -0,0 +1,101 @@
+#include "event_text.hpp"
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr std::string_view id_field = "id:";
+
+/// @return length of the first event with the empty line that ends it, or npos
+std::size_t event_length(std::string_view text)
+{
+    auto const plain = text.find("\n\n");
+    auto const returned = text.find("\r\n\r\n");
+    if (returned != std::string_view::npos &&
+        (plain == std::string_view::npos || returned < plain))
+    {
+        return returned + 4;
+    }
+    return plain == std::string_view::npos ? plain : plain + 2;
+}
+
+/// @return value of the event's last `id` field, or an empty text
+std::string_view id_of(std::string_view event)
+{
+    std::string_view id;
+    while (!event.empty())
+    {
+        auto const end = std::min(event.find('\n'), event.size());
+        auto line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(id_field))
+        {
+            continue;
+        }
+        line.remove_prefix(id_field.size());
+        if (line.starts_with(' '))
+        {
+            line.remove_prefix(1);
+        }
+        if (line.ends_with('\r'))
+        {
+            line.remove_suffix(1);
+        }
+        id = line;
+    }
+    return id;
+}
+
+std::optional<std::uint64_t> number_of(std::string_view text)
+{
+    std::uint64_t value = 0;
+    auto const [stop, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || stop != text.data() + text.size())
+    {
+        return std::nullopt;
+    }
+    return value;
+}
+
+bool is_repeated(std::string_view id, std::string_view last_id)
+{
+    auto const number = number_of(id);
+    auto const last = number_of(last_id);
+    return number && last && *number <= *last;
+}
+
+} // namespace
+
+std::string take_new_events(std::string &buffer, std::string &last_id)
+{
+    std::string out;
+    std::string_view rest = buffer;
+    auto length = event_length(rest);
+    while (length != std::string_view::npos)
+    {
+        auto const event = rest.substr(0, length);
+        auto const id = id_of(event);
+        if (!is_repeated(id, last_id))
+        {
+            out += event;
+            if (!id.empty())
+            {
+                last_id = id;
+            }
+        }
+        rest.remove_prefix(length);
+        length = event_length(rest);
+    }
+    buffer.erase(0, buffer.size() - rest.size());
+    return out;
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/expire_relays.cpp
@@ -0,0 +1,48 @@
+#include "expire_relays.hpp"
+
+#include "log_relay.hpp"
+#include "relay_lifecycle.hpp"
+#include "world.hpp"
+
+namespace agateledge
+{
+
+namespace
+{
+
+void expire(world &w, request_number number)
+{
+    auto *request = w.relay.requests.find(number);
+    if (request == nullptr)
+    {
+        return;
+    }
+    if (request->attempt)
+    {
+        auto const *call = w.relay.requests.find(*request->attempt);
+        bool const silent = call != nullptr && !call->answered;
+        cancel_attempt(w, *request->attempt,
+                       silent ? call_result::failed : call_result::neutral);
+    }
+    fail_relay(w, number, "the time of the request is up");
+}
+
+} // namespace
+
+void expire_relays(world &w)
+{
+    if (!w.relay.enabled)
+    {
+        return;
+    }
+    while (auto const due = w.relay.expiries.take(w.now))
+    {
+        expire(w, *due);
+    }
+    if (auto const next = w.relay.expiries.next())
+    {
+        wake_at(w, *next);
+    }
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/follow_store.cpp
@@ -0,0 +1,193 @@
+#include "follow_store.hpp"
+
+#include "log_relay.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Pause between two reads of a table's changes, and the time for which the
+/// store holds a read until there are changes. The configuration must be in
+/// force within 2 s, and new work must stop 2 s after an instance leaves.
+struct follow_pace
+{
+    duration pause;
+    duration wait;
+};
+
+constexpr std::array<follow_pace, followed_table_count> paces{
+    follow_pace{milliseconds(0), milliseconds(1200)},
+    follow_pace{milliseconds(700), milliseconds(0)},
+    follow_pace{seconds(5), milliseconds(0)},
+};
+
+/// Time that a read may take beyond the time that the store holds it: 4 ms at
+/// the usual speed, and up to 60 times as long while the store is slow.
+constexpr duration read_timeout = milliseconds(1500);
+
+/// Pauses after failed reads; the first is doubled with each further failure.
+constexpr duration first_backoff = milliseconds(150);
+constexpr duration longest_backoff = milliseconds(1500);
+
+/// Pause after which a daemon writes its row again.
+constexpr duration daemon_row_interval = seconds(5);
+
+table_follower &follower_of(world &w, followed_table table)
+{
+    return w.relay.followers.at(static_cast<std::size_t>(table));
+}
+
+duration backoff(world &w, int failures)
+{
+    auto const doubled = first_backoff * (1 << std::min(failures - 1, 5));
+    auto const bound = std::min(doubled, longest_backoff);
+    return from_seconds(to_seconds(bound) * (0.5 + w.random.uniform()));
+}
+
+void note_reachable(world &w, bool reachable, row_read_reply const &reply)
+{
+    auto &store = w.relay.store;
+    if (!reachable)
+    {
+        store.failed_at = w.now;
+    }
+    if (store.reachable == reachable)
+    {
+        return;
+    }
+    store.reachable = reachable;
+    store.changed_at = w.now;
+    if (reachable)
+    {
+        store.restored_at = w.now;
+    }
+    log_relay(w, reachable ? log_level::info : log_level::warning,
+              reachable ? "store_reachable" : "store_unreachable",
+              {{"status", std::to_string(reply.status)},
+               {"table", std::string(name_of(reply.table))}});
+}
+
+void take_failure(world &w, table_follower &follower,
+                  row_read_reply const &reply)
+{
+    ++follower.failures;
+    follower.next_read = w.now + backoff(w, follower.failures);
+    if (reply.outcome == row_outcome::history_lost)
+    {
+        follower.whole = true;
+        follower.after_key.clear();
+        log_relay(w, log_level::warning, "history_lost",
+                  {{"table", std::string(name_of(reply.table))},
+                   {"after_version", std::to_string(follower.version)}});
+        return;
+    }
+    note_reachable(w, false, reply);
+}
+
+void take_rows(world &w, table_follower &follower, row_read_reply const &reply)
+{
+    note_reachable(w, true, reply);
+    follower.failures = 0;
+    follower.confirmed_at = w.now;
+    if (reply.whole && follower.after_key.empty())
+    {
+        follower.first_page_version = reply.version;
+    }
+    if (reply.whole && reply.truncated)
+    {
+        follower.after_key = reply.last_key;
+        follower.next_read = w.now;
+        return;
+    }
+    if (reply.whole)
+    {
+        follower.version =
+            std::max(follower.version, follower.first_page_version);
+        follower.whole = false;
+        follower.after_key.clear();
+        follower.known = true;
+    }
+    else
+    {
+        follower.version = std::max(follower.version, reply.version);
+    }
+    follower.next_read =
+        w.now + paces.at(static_cast<std::size_t>(reply.table)).pause;
+}
+
+void take_reply(world &w, row_read_reply const &reply)
+{
+    auto &follower = follower_of(w, reply.table);
+    follower.in_flight = false;
+    ++w.relay.metrics.store_calls[std::string(name_of(reply.outcome))];
+    if (reply.outcome == row_outcome::answered)
+    {
+        take_rows(w, follower, reply);
+        return;
+    }
+    take_failure(w, follower, reply);
+}
+
+void read_table(world &w, followed_table table)
+{
+    auto &follower = follower_of(w, table);
+    if (follower.in_flight)
+    {
+        return;
+    }
+    if (follower.next_read > w.now)
+    {
+        wake_at(w, follower.next_read);
+        return;
+    }
+    auto const &pace = paces.at(static_cast<std::size_t>(table));
+    row_read read;
+    read.table = table;
+    read.whole = follower.whole;
+    read.after_key = follower.after_key;
+    read.after_version = follower.version;
+    read.wait = follower.whole ? duration(0) : pace.wait;
+    read.timeout = read.wait + read_timeout;
+    follower.in_flight = true;
+    w.out.row_reads.push_back(read);
+}
+
+void write_own_row(world &w)
+{
+    auto &relay = w.relay;
+    if (relay.stopping_since)
+    {
+        return;
+    }
+    if (relay.next_daemon_row <= w.now)
+    {
+        relay.next_daemon_row = w.now + daemon_row_interval;
+        w.out.daemon_row_writes.push_back({w.identity.name, false});
+    }
+    wake_at(w, relay.next_daemon_row);
+}
+
+} // namespace
+
+void follow_store(world &w)
+{
+    if (!w.relay.enabled)
+    {
+        return;
+    }
+    std::ranges::for_each(w.in.row_read_replies,
+                          [&w](row_read_reply const &reply)
+                          { take_reply(w, reply); });
+    read_table(w, followed_table::configuration);
+    read_table(w, followed_table::instances);
+    read_table(w, followed_table::daemons);
+    write_own_row(w);
+}
+
+} // namespace agateledge
--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -16,7 +16,8 @@
     return *holder;
 }
 
-void set_body(SoupMessage *message, shared_text const &body)
+void set_body(SoupMessage *message, shared_text const &body,
+              std::string const &content_type)
 {
     if (!body)
     {
@@ -26,8 +27,8 @@
     GBytes *bytes = g_bytes_new_with_free_func(
         body->data(), body->size(),
         [](gpointer data) { delete static_cast<shared_text *>(data); }, kept);
-    soup_message_set_request_body_from_bytes(message, "application/json",
-                                             bytes);
+    soup_message_set_request_body_from_bytes(
+        message, content_type.empty() ? nullptr : content_type.c_str(), bytes);
     g_bytes_unref(bytes);
 }
 
@@ -55,9 +56,13 @@
     }
     for (auto const &[name, value] : request.headers)
     {
-        soup_message_headers_replace(headers, name.c_str(), value.c_str());
+        soup_message_headers_remove(headers, name.c_str());
     }
-    set_body(message, request.body);
+    for (auto const &[name, value] : request.headers)
+    {
+        soup_message_headers_append(headers, name.c_str(), value.c_str());
+    }
+    set_body(message, request.body, request.content_type);
     return message;
 }
 
@@ -190,10 +195,16 @@
         stream_.reset();
         return;
     }
+    auto const status =
+        static_cast<int>(soup_message_get_status(message_.get()));
     if (handlers_.on_status)
     {
-        handlers_.on_status(
-            static_cast<int>(soup_message_get_status(message_.get())));
+        handlers_.on_status(status);
+    }
+    if (handlers_.on_head)
+    {
+        handlers_.on_head(status,
+                          soup_message_get_response_headers(message_.get()));
     }
     read_next();
 }
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -27,9 +27,12 @@
     std::string address;
     /// Path with the query.
     std::string path;
+    /// Replace the headers that are sent by default; names may repeat.
     std::vector<std::pair<std::string, std::string>> headers;
-    /// JSON body; null for none.
+    /// Null for none.
     shared_text body;
+    /// Empty sends none.
+    std::string content_type = "application/json";
     /// Bound on the connect when `total_timeout` is 0.
     duration connect_timeout = seconds(2);
     /// Bound on the whole call; 0 for none.
@@ -55,6 +58,8 @@
 {
     /// The reply's status; before its body.
     std::function<void(int)> on_status;
+    /// The reply's status and headers; before its body.
+    std::function<void(int, SoupMessageHeaders *)> on_head;
     /// Part of the reply's body.
     std::function<void(std::string_view)> on_bytes;
     /// The call ended; runs once.
--- a/src/inbox.hpp
+++ b/src/inbox.hpp
@@ -4,6 +4,9 @@
 #include "engine_order.hpp"
 #include "heartbeat.hpp"
 #include "ids.hpp"
+#include "relay_messages.hpp"
+#include "row_messages.hpp"
+#include "shared_text.hpp"
 #include "table_call.hpp"
 #include "time.hpp"
 
@@ -15,9 +18,6 @@
 namespace agateledge
 {
 
-/// Body shared between the listener, the tables and the calls without copies.
-using shared_text = std::shared_ptr<std::string const>;
-
 /// Where an interrupted answer is continued, from a signed request id and the
 /// `Last-Event-ID` of the caller.
 struct resume_point
@@ -217,6 +217,11 @@
     std::vector<configuration_document> configuration_documents;
     std::vector<order_reply> order_replies;
     std::vector<operator_request> operator_requests;
+    std::vector<relay_arrival> relay_arrivals;
+    std::vector<relay_departure> relay_departures;
+    std::vector<relay_event> relay_events;
+    std::vector<prefill_result> prefill_results;
+    std::vector<row_read_reply> row_read_replies;
     bool shutdown = false;
 };
 
--- /dev/null
+++ b/src/instance_client.cpp
@@ -0,0 +1,169 @@
+#include "instance_client.hpp"
+
+#include "daemon_loop.hpp"
+#include "http_client.hpp"
+#include "relay_codec.hpp"
+#include "soup_headers.hpp"
+
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+
+/// Time for the release of a KV cache, which expires anyway.
+constexpr duration release_timeout = seconds(1);
+
+relay_event_kind kind_of(http_outcome outcome)
+{
+    switch (outcome)
+    {
+    case http_outcome::answered:
+        return relay_event_kind::finished;
+    case http_outcome::failed_before_send:
+        return relay_event_kind::failed_before_send;
+    case http_outcome::failed_after_send:
+        return relay_event_kind::failed_after_send;
+    }
+    return relay_event_kind::failed_after_send;
+}
+
+} // namespace
+
+instance_client::instance_client(http_client &http, daemon_loop &loop,
+                                 relay_codec const &codec)
+    : http_(http), loop_(loop), codec_(codec)
+{
+}
+
+void instance_client::call(relay_call const &call)
+{
+    auto request = codec_.encode_call(call);
+    request.connect_timeout = call.connect_timeout;
+    request.new_connection = true;
+    auto const shared = std::make_shared<relay_call const>(call);
+    http_call_handlers handlers;
+    handlers.on_head = [this, shared](int status, SoupMessageHeaders *headers)
+    { take_head(*shared, status, headers_from(headers)); };
+    handlers.on_bytes = [this, shared](std::string_view bytes)
+    { take_bytes(*shared, bytes); };
+    handlers.on_end = [this, shared](http_outcome outcome)
+    { take_end(*shared, outcome); };
+    by_request_.insert_or_assign(call.request, call.attempt);
+    open_[call.attempt].request = call.request;
+    auto http = http_.open(request, std::move(handlers));
+    auto const found = open_.find(call.attempt);
+    if (found != open_.end())
+    {
+        found->second.http = std::move(http);
+    }
+}
+
+void instance_client::cancel(relay_cancel const &cancel)
+{
+    auto const found = open_.find(cancel.attempt);
+    if (found != open_.end())
+    {
+        http_.cancel(found->second.http);
+        forget(cancel.attempt);
+    }
+}
+
+void instance_client::release(kv_release const &release)
+{
+    auto request = codec_.encode_release(release);
+    request.total_timeout = release_timeout;
+    request.new_connection = true;
+    // A KV cache that is not released expires at the engine.
+    http_.send(request, [](http_reply const &) {});
+}
+
+void instance_client::hold(request_number request, bool hold)
+{
+    auto const attempt = by_request_.find(request);
+    if (attempt == by_request_.end())
+    {
+        return;
+    }
+    auto const &http = open_.at(attempt->second).http;
+    if (hold)
+    {
+        http->pause();
+        return;
+    }
+    http->resume();
+}
+
+void instance_client::take_head(relay_call const &call, int status,
+                                header_list headers)
+{
+    open_.at(call.attempt).status = status;
+    auto head = codec_.decode_head(call, {status, std::move(headers)});
+    bool const prefilled = call.stage == relay_stage::prefill &&
+                           status == http_ok && !head.foreign && !head.not_run;
+    if (prefilled)
+    {
+        return;
+    }
+    relay_event event;
+    event.attempt = call.attempt;
+    event.kind = relay_event_kind::head;
+    event.head = std::make_shared<relay_reply_head const>(std::move(head));
+    loop_.input().relay_events.push_back(std::move(event));
+}
+
+void instance_client::take_bytes(relay_call const &call, std::string_view bytes)
+{
+    if (call.stage == relay_stage::prefill)
+    {
+        open_.at(call.attempt).prefill_body.append(bytes);
+        return;
+    }
+    relay_event event;
+    event.attempt = call.attempt;
+    event.kind = relay_event_kind::bytes;
+    event.bytes = std::string(bytes);
+    loop_.input().relay_events.push_back(std::move(event));
+}
+
+void instance_client::take_end(relay_call const &call, http_outcome outcome)
+{
+    auto const &open = open_.at(call.attempt);
+    bool const prefilled = call.stage == relay_stage::prefill &&
+                           outcome == http_outcome::answered &&
+                           open.status == http_ok;
+    if (prefilled)
+    {
+        loop_.input().prefill_results.push_back(
+            {call.attempt, codec_.decode_prefill(open.prefill_body)});
+    }
+    else
+    {
+        relay_event event;
+        event.attempt = call.attempt;
+        event.kind = kind_of(outcome);
+        loop_.input().relay_events.push_back(std::move(event));
+    }
+    forget(call.attempt);
+}
+
+void instance_client::forget(attempt_number attempt)
+{
+    auto const found = open_.find(attempt);
+    if (found == open_.end())
+    {
+        return;
+    }
+    auto const of_request = by_request_.find(found->second.request);
+    if (of_request != by_request_.end() && of_request->second == attempt)
+    {
+        by_request_.erase(of_request);
+    }
+    open_.erase(found);
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/instance_table.hpp
@@ -0,0 +1,86 @@
+#ifndef AGATELEDGE_INSTANCE_TABLE_HPP
+#define AGATELEDGE_INSTANCE_TABLE_HPP
+
+#include "ids.hpp"
+#include "instance_definition.hpp"
+#include "prompt_cache_view.hpp"
+#include "time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace agateledge
+{
+
+/// How the calls of an instance ended lately; older ones count less.
+struct instance_health
+{
+    double succeeded = 0;
+    double failed = 0;
+    instant decayed_at{};
+    /// No work is given before this time.
+    instant avoided_until{};
+    /// Length of the next pause; grows while the instance keeps failing.
+    duration next_pause{};
+};
+
+/// An engine or endpoint of the directory, with what this daemon has seen of
+/// it.
+struct instance_state
+{
+    instance_definition definition;
+    std::uint64_t row_version = 0;
+    /// Set when the row went missing around an outage of the store: the
+    /// instance is used until this time unless its row comes back.
+    std::optional<instant> lapses_at;
+    /// Set when the address answered for another instance; until the row
+    /// changes again.
+    bool address_taken = false;
+    instance_health health;
+    /// Calls of this daemon that are open.
+    std::unordered_set<attempt_number> open_calls;
+    /// Prompt tokens of open calls that the engine has yet to read.
+    std::int64_t unread_tokens = 0;
+    /// Time by which replies came later than predicted, smoothed.
+    duration delay{};
+    instant delay_seen_at{};
+    prompt_cache_view cache;
+};
+
+/// Instances of the directory by id.
+class instance_table
+{
+public:
+    /// @return the instance, or null when it is not listed
+    instance_state *find(std::string const &id);
+    instance_state const *find(std::string const &id) const;
+
+    /// Adds or changes an entry. A new incarnation of the instance starts with
+    /// nothing known of it.
+    ///
+    /// @return the entry
+    instance_state &put(instance_definition const &definition,
+                        std::uint64_t row_version);
+
+    void erase(std::string const &id);
+
+    /// @return ids of the instances of a service, in ascending order
+    std::vector<std::string> const &of_service(std::string const &name) const;
+
+    std::map<std::string, instance_state> const &all() const { return states_; }
+    std::map<std::string, instance_state> &all() { return states_; }
+
+private:
+    void leave_service(std::string const &service, std::string const &id);
+
+    std::map<std::string, instance_state> states_;
+    std::map<std::string, std::vector<std::string>> by_service_;
+};
+
+} // namespace agateledge
+
+#endif
--- a/src/load_settings.cpp
+++ b/src/load_settings.cpp
@@ -5,10 +5,7 @@
 #include "settings_reader.hpp"
 
 #include <algorithm>
-#include <fstream>
-#include <iterator>
 #include <set>
-#include <sstream>
 #include <utility>
 
 namespace agateledge
@@ -374,52 +371,26 @@
     check_consistency(root, out);
 }
 
-absl::Status faults_status(std::vector<std::string> const &faults)
-{
-    std::string text;
-    std::ranges::for_each(faults, [&text](std::string const &fault)
-                          { text += (text.empty() ? "" : "\n") + fault; });
-    return make_status(result_code::settings_invalid, text);
-}
-
 } // namespace
 
 absl::StatusOr<settings> parse_settings(std::string const &text,
                                         std::string const &file)
 {
-    toml::table table;
-    try
-    {
-        table = toml::parse(text, file);
-    }
-    catch (toml::parse_error const &error)
-    {
-        std::ostringstream message;
-        message << file << ":" << error.source().begin.line << ": "
-                << error.description();
-        return make_status(result_code::settings_invalid, message.str());
-    }
-    std::vector<std::string> faults;
     settings out;
-    settings_reader root(table, file, "", faults);
-    read_settings(root, out);
-    if (!faults.empty())
+    auto const status = read_settings_text(text, file,
+                                           [&out](settings_reader &root)
+                                           { read_settings(root, out); });
+    if (!status.ok())
     {
-        return faults_status(faults);
+        return status;
     }
     return out;
 }
 
 absl::StatusOr<settings> load_settings(std::string const &file)
 {
-    std::ifstream stream(file);
-    if (!stream)
-    {
-        return make_status(result_code::settings_invalid,
-                           file + ": cannot be read");
-    }
-    std::string const text((std::istreambuf_iterator<char>(stream)), {});
-    return parse_settings(text, file);
+    auto const text = read_settings_file(file);
+    return text.ok() ? parse_settings(*text, file) : text.status();
 }
 
 } // namespace agateledge
--- a/src/outbox.hpp
+++ b/src/outbox.hpp
@@ -152,6 +152,12 @@
     std::vector<peer_call> peer_calls;
     std::vector<configuration_fetch> configuration_fetches;
     std::vector<operator_reply> operator_replies;
+    std::vector<relay_answer> relay_answers;
+    std::vector<relay_cancel> relay_cancels;
+    std::vector<relay_call> relay_calls;
+    std::vector<kv_release> kv_releases;
+    std::vector<row_read> row_reads;
+    std::vector<daemon_row_write> daemon_row_writes;
     /// True once a shutdown has finished and the process may exit.
     bool stop_ready = false;
 };
--- /dev/null
+++ b/src/place_relays.cpp
@@ -0,0 +1,170 @@
+#include "place_relays.hpp"
+
+#include "choose_instance.hpp"
+#include "log_relay.hpp"
+#include "relay_lifecycle.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Longest wait for a connection: a lost first packet is sent again after 1 s,
+/// and another instance is asked before that.
+constexpr duration longest_connect = milliseconds(400);
+
+/// Ranks that engines know, 0 for the most urgent.
+constexpr int least_urgent_rank = 9;
+
+/// Part of an engine's KV cache that is believed to hold shared prompt parts;
+/// running requests take the rest.
+constexpr double cached_share = 0.6;
+
+/// Callers are told to return after a part of the wait that made the request
+/// impossible.
+constexpr duration shortest_retry_after = milliseconds(500);
+
+std::int64_t cache_capacity(world const &w, std::string const &service)
+{
+    auto const *profile = find_service(*w.relay.routing, service);
+    auto const capacity = profile != nullptr && profile->engine
+                              ? profile->engine->kv_capacity_tokens
+                              : 0;
+    return static_cast<std::int64_t>(static_cast<double>(capacity) *
+                                     cached_share);
+}
+
+relay_call make_call(world const &w, relay_state_entry const &request,
+                     instance_state const &instance,
+                     instance_choice const &choice, attempt_number attempt)
+{
+    auto const left = request.expires_at - w.now;
+    relay_call call;
+    call.attempt = attempt;
+    call.request = request.number;
+    call.content = request.content;
+    call.instance = choice.instance;
+    call.address = instance.definition.address;
+    call.stage = choice.stage;
+    call.time_left = left;
+    call.resume_after = request.last_event;
+    call.connect_timeout = std::min(left, longest_connect);
+    if (request.content->prompt)
+    {
+        call.priority =
+            std::clamp(request.route->priority, 0, least_urgent_rank);
+    }
+    if (request.kept)
+    {
+        call.kv_source_address = request.kept->address;
+        call.kv_handle = request.kept->handle;
+    }
+    return call;
+}
+
+void log_placement(world &w, relay_state_entry const &request,
+                   instance_state const &instance,
+                   instance_choice const &choice)
+{
+    auto const &prediction = choice.prediction;
+    log_request(
+        w, log_level::debug, request, "request_placed",
+        {{"instance", choice.instance},
+         {"stage", choice.stage == relay_stage::prefill ? "prefill" : "run"},
+         {"row_version", std::to_string(instance.row_version)},
+         {"predicted_ms", milliseconds_text(prediction.time)},
+         {"wait_ms", milliseconds_text(prediction.wait)},
+         {"unread_tokens", std::to_string(prediction.unread_tokens)},
+         {"cached_tokens", std::to_string(prediction.cached_tokens)},
+         {"candidates", std::to_string(choice.candidates)},
+         {"runner_up_ms", milliseconds_text(choice.runner_up)},
+         {"left_ms", milliseconds_text(request.expires_at - w.now)}});
+}
+
+void send(world &w, relay_state_entry &request, instance_choice const &choice)
+{
+    auto &relay = w.relay;
+    auto &instance = *relay.instances.find(choice.instance);
+    auto const attempt = relay.requests.next_attempt();
+    bool const prefill = choice.stage == relay_stage::prefill;
+    w.out.relay_calls.push_back(
+        make_call(w, request, instance, choice, attempt));
+    log_placement(w, request, instance, choice);
+    relay.requests.add({attempt, request.number, choice.instance, choice.stage,
+                        w.now, choice.prediction.time,
+                        choice.prediction.unread_tokens,
+                        instance.open_calls.size(), false});
+    instance.open_calls.insert(attempt);
+    instance.unread_tokens += choice.prediction.unread_tokens;
+    instance.cache.note(request.chain, cache_capacity(w, request.service));
+    request.attempt = attempt;
+    request.tried.push_back(choice.instance);
+    request.runs += prefill ? 0 : 1;
+    ++request.sends;
+    if (!request.first_sent_at)
+    {
+        request.first_sent_at = w.now;
+        relay.metrics.queued.add(w.now - request.arrived_at);
+    }
+    relay.metrics.tokens_cached +=
+        static_cast<std::uint64_t>(choice.prediction.cached_tokens);
+    relay.metrics.tokens_read +=
+        static_cast<std::uint64_t>(choice.prediction.unread_tokens);
+}
+
+/// Sends or refuses the request.
+void place(world &w, request_number number)
+{
+    auto &request = *w.relay.requests.find(number);
+    auto const choice = choose_instance(w, request);
+    if (!choice)
+    {
+        fail_relay(w, number, "no instance of the service takes work");
+        return;
+    }
+    auto const left = request.expires_at - w.now;
+    if (request.runs == 0 && choice->prediction.time > left)
+    {
+        auto const excess = choice->prediction.time - left;
+        refuse_relay(
+            w, number, result_code::deadline_unreachable,
+            "the earliest first event is predicted after the deadline",
+            spread_retry_after(w, std::max(excess * 2, shortest_retry_after)));
+        return;
+    }
+    send(w, request, *choice);
+}
+
+} // namespace
+
+void place_relays(world &w)
+{
+    if (!w.relay.enabled)
+    {
+        return;
+    }
+    auto due = std::exchange(w.relay.waiting, {});
+    std::ranges::stable_sort(
+        due, {},
+        [&w](request_number number)
+        { return w.relay.requests.find(number)->route->priority; });
+    for (auto const number : due)
+    {
+        auto const not_before = w.relay.requests.find(number)->not_before;
+        if (not_before > w.now)
+        {
+            w.relay.waiting.push_back(number);
+            wake_at(w, not_before);
+            continue;
+        }
+        place(w, number);
+    }
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/relay_lifecycle.cpp
@@ -0,0 +1,203 @@
+#include "relay_lifecycle.hpp"
+
+#include "log_relay.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Time in which the weight of an instance's past results halves.
+constexpr double health_half_life_s = 4;
+
+/// Calls that an instance may refuse before the request is given up, besides
+/// the calls that its route allows.
+constexpr int max_refused_calls = 3;
+
+void count_result(world &w, instance_state &instance, call_result result)
+{
+    auto &health = instance.health;
+    auto const age = to_seconds(w.now - health.decayed_at);
+    auto const kept = std::exp2(-age / health_half_life_s);
+    health.succeeded *= kept;
+    health.failed *= kept;
+    health.decayed_at = w.now;
+    health.succeeded += result == call_result::succeeded ? 1 : 0;
+    health.failed += result == call_result::failed ? 1 : 0;
+}
+
+void answer(world &w, relay_answer answer)
+{
+    answer.close_connection = w.relay.stopping_since.has_value();
+    w.out.relay_answers.push_back(std::move(answer));
+}
+
+void drop_request(world &w, request_number number)
+{
+    auto &waiting = w.relay.waiting;
+    std::erase(waiting, number);
+    w.relay.requests.erase(number);
+}
+
+} // namespace
+
+void close_attempt(world &w, attempt_number attempt, call_result result)
+{
+    auto const *open = w.relay.requests.find(attempt);
+    if (open == nullptr)
+    {
+        return;
+    }
+    auto *instance = w.relay.instances.find(open->instance);
+    if (instance != nullptr && instance->open_calls.erase(attempt) != 0)
+    {
+        instance->unread_tokens -= open->answered ? 0 : open->unread_tokens;
+        count_result(w, *instance, result);
+    }
+    if (auto *request = w.relay.requests.find(open->request);
+        request != nullptr && request->attempt == attempt)
+    {
+        request->attempt.reset();
+    }
+    w.relay.requests.erase(attempt);
+}
+
+void cancel_attempt(world &w, attempt_number attempt, call_result result)
+{
+    w.out.relay_cancels.push_back({attempt});
+    close_attempt(w, attempt, result);
+}
+
+void release_kept_prefill(world &w, relay_state_entry &request)
+{
+    if (auto const kept = std::exchange(request.kept, std::nullopt))
+    {
+        w.out.kv_releases.push_back({kept->address, kept->handle});
+    }
+}
+
+duration spread_retry_after(world &w, duration longest)
+{
+    return from_seconds(to_seconds(longest) * (0.5 + 0.5 * w.random.uniform()));
+}
+
+void refuse_relay(world &w, request_number number, result_code code,
+                  std::string const &message,
+                  std::optional<duration> retry_after)
+{
+    auto *request = w.relay.requests.find(number);
+    if (request == nullptr)
+    {
+        return;
+    }
+    if (request->attempt)
+    {
+        cancel_attempt(w, *request->attempt, call_result::neutral);
+    }
+    release_kept_prefill(w, *request);
+    ++w.relay.metrics.refusals[std::string(name_of(code))];
+    relay_answer reply;
+    reply.request = number;
+    reply.kind = request->answering ? relay_answer_kind::cut
+                                    : relay_answer_kind::refused;
+    reply.status = http_status(code);
+    reply.code = code;
+    reply.message = message;
+    reply.retry_after = retry_after;
+    log_request(w, log_level::warning, *request, "request_failed",
+                {{"code", std::string(name_of(code))},
+                 {"reason", message},
+                 {"runs", std::to_string(request->runs)},
+                 {"sends", std::to_string(request->sends)},
+                 {"answering", request->answering ? "true" : "false"},
+                 {"retry_after_ms",
+                  retry_after ? milliseconds_text(*retry_after) : ""}});
+    answer(w, std::move(reply));
+    ++w.relay.metrics.requests[request->answering ? "cut" : "refused"];
+    drop_request(w, number);
+}
+
+void fail_relay(world &w, request_number number, std::string const &message)
+{
+    auto const *request = w.relay.requests.find(number);
+    if (request == nullptr)
+    {
+        return;
+    }
+    bool const late = w.now >= request->expires_at;
+    if (request->runs > 0)
+    {
+        refuse_relay(w, number,
+                     late ? result_code::deadline_exceeded
+                          : result_code::endpoint_failed,
+                     message);
+        return;
+    }
+    refuse_relay(w, number, result_code::no_endpoint, message,
+                 spread_retry_after(w, seconds(1)));
+}
+
+void finish_relay(world &w, request_number number, std::string const &outcome)
+{
+    auto const *request = w.relay.requests.find(number);
+    if (request == nullptr)
+    {
+        return;
+    }
+    auto const first = request->first_event_at.value_or(w.now);
+    w.relay.metrics.first_event.add(first - request->arrived_at);
+    ++w.relay.metrics.requests[outcome];
+    bool const late =
+        first - request->arrived_at > request->route->target_latency;
+    log_request(
+        w, log_level::info, *request, "request_finished",
+        {{"outcome", outcome},
+         {"first_event_ms", milliseconds_text(first - request->arrived_at)},
+         {"target_ms", milliseconds_text(request->route->target_latency)},
+         {"late", late ? "true" : "false"},
+         {"sends", std::to_string(request->sends)}});
+    drop_request(w, number);
+}
+
+bool retry_relay(world &w, relay_state_entry &request, bool extra,
+                 duration pause, std::string const &reason)
+{
+    auto &relay = w.relay;
+    auto const next = w.now + pause;
+    bool const allowed =
+        next < request.expires_at &&
+        request.runs < request.route->max_attempts &&
+        request.sends < request.route->max_attempts + max_refused_calls;
+    if (!allowed)
+    {
+        return false;
+    }
+    auto const daemons = static_cast<double>(relay.daemons.size());
+    if (extra && !relay.budgets[request.service].spend(
+                     w.now, relay.limits.retries,
+                     std::max(daemons, fewest_counted_daemons)))
+    {
+        ++relay.metrics.retries_denied;
+        log_request(w, log_level::warning, request, "retry_denied",
+                    {{"reason", reason},
+                     {"daemons", std::to_string(relay.daemons.size())}});
+        return false;
+    }
+    ++relay.metrics.retries;
+    request.not_before = next;
+    relay.waiting.push_back(request.number);
+    log_request(w, log_level::info, request, "request_retried",
+                {{"reason", reason},
+                 {"runs", std::to_string(request.runs)},
+                 {"sends", std::to_string(request.sends)},
+                 {"resume_after", request.last_event}});
+    return true;
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/relay_metrics_text.cpp
@@ -0,0 +1,97 @@
+#include "relay_metrics_text.hpp"
+
+#include "world.hpp"
+
+#include <sstream>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr char const *prefix = "agateledge_relay_";
+
+void write_counters(std::ostream &out, char const *name, char const *label,
+                    relay_metrics::counter_map const &values)
+{
+    out << "# TYPE " << prefix << name << " counter\n";
+    for (auto const &[value, count] : values)
+    {
+        out << prefix << name << "{" << label << "=\"" << value << "\"} "
+            << count << "\n";
+    }
+}
+
+void write_value(std::ostream &out, char const *name, char const *type,
+                 double value)
+{
+    out << "# TYPE " << prefix << name << " " << type << "\n"
+        << prefix << name << " " << value << "\n";
+}
+
+void write_latency(std::ostream &out, char const *name,
+                   latency_quantiles const &values)
+{
+    out << "# TYPE " << prefix << name << " summary\n";
+    for (std::size_t i = 0; i < latency_quantiles::levels.size(); ++i)
+    {
+        out << prefix << name << "{quantile=\""
+            << latency_quantiles::levels.at(i) << "\"} " << values.quantile(i)
+            << "\n";
+    }
+    out << prefix << name << "_sum " << values.sum() << "\n"
+        << prefix << name << "_count " << values.count() << "\n";
+}
+
+/// @return seconds since a table was last confirmed, or -1 before that
+double age_of(world const &w, followed_table table)
+{
+    auto const &follower =
+        w.relay.followers.at(static_cast<std::size_t>(table));
+    return follower.known ? to_seconds(w.now - follower.confirmed_at) : -1;
+}
+
+} // namespace
+
+std::string relay_metrics_text(world const &w)
+{
+    auto const &relay = w.relay;
+    auto const &metrics = relay.metrics;
+    std::ostringstream out;
+    write_counters(out, "requests_total", "outcome", metrics.requests);
+    write_counters(out, "refusals_total", "code", metrics.refusals);
+    write_counters(out, "calls_total", "result", metrics.calls);
+    write_counters(out, "store_calls_total", "result", metrics.store_calls);
+    write_value(out, "retries_total", "counter",
+                static_cast<double>(metrics.retries));
+    write_value(out, "retries_denied_total", "counter",
+                static_cast<double>(metrics.retries_denied));
+    write_value(out, "resumed_streams_total", "counter",
+                static_cast<double>(metrics.resumed_streams));
+    write_value(out, "prefill_handovers_total", "counter",
+                static_cast<double>(metrics.prefill_handovers));
+    write_value(out, "prompt_tokens_cached_total", "counter",
+                static_cast<double>(metrics.tokens_cached));
+    write_value(out, "prompt_tokens_read_total", "counter",
+                static_cast<double>(metrics.tokens_read));
+    write_value(out, "open_requests", "gauge",
+                static_cast<double>(relay.requests.size()));
+    write_value(out, "instances", "gauge",
+                static_cast<double>(relay.instances.all().size()));
+    write_value(out, "daemons", "gauge",
+                static_cast<double>(relay.daemons.size()));
+    write_value(out, "store_reachable", "gauge", relay.store.reachable ? 1 : 0);
+    write_value(out, "configuration_version", "gauge",
+                static_cast<double>(relay.routing->version));
+    write_value(out, "configuration_age_seconds", "gauge",
+                age_of(w, followed_table::configuration));
+    write_value(out, "directory_age_seconds", "gauge",
+                age_of(w, followed_table::instances));
+    write_latency(out, "queued_seconds", metrics.queued);
+    write_latency(out, "first_event_seconds", metrics.first_event);
+    write_latency(out, "late_by_seconds", metrics.late_by);
+    return out.str();
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/relay_metrics_text.hpp
@@ -0,0 +1,16 @@
+#ifndef AGATELEDGE_RELAY_METRICS_TEXT_HPP
+#define AGATELEDGE_RELAY_METRICS_TEXT_HPP
+
+#include <string>
+
+namespace agateledge
+{
+
+struct world;
+
+/// @return the relay metrics of a daemon in the Prometheus text format
+std::string relay_metrics_text(world const &w);
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/relay_process.cpp
@@ -0,0 +1,224 @@
+#include "relay_process.hpp"
+
+#include "http_exchange.hpp"
+#include "json_log.hpp"
+#include "relay_metrics_text.hpp"
+#include "settings_reader.hpp"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr guint stop_check_interval_ms = 20;
+
+/// Interval at which the settings file is compared: it may change without a
+/// signal.
+constexpr guint file_check_interval_ms = 2000;
+
+constexpr int http_ok = 200;
+constexpr int http_unavailable = 503;
+
+/// Descriptors that are not for sockets, and those that one request takes: the
+/// caller's connection and the call to an instance.
+constexpr int reserved_descriptors = 200;
+constexpr int descriptors_per_request = 2;
+
+/// Time in which a caller must have sent the body of its request.
+constexpr duration body_timeout = seconds(15);
+
+listener_limits limits_of(relay_settings const &config)
+{
+    listener_limits out;
+    out.max_connections =
+        std::max(1, (config.max_descriptors - reserved_descriptors) /
+                        descriptors_per_request);
+    out.request_timeout = body_timeout;
+    return out;
+}
+
+} // namespace
+
+relay_process::relay_process(relay_settings config, std::string file,
+                             relay_codec codec, incarnation_number incarnation,
+                             std::uint64_t seed)
+    : config_(std::move(config)), file_(std::move(file)),
+      codec_(std::move(codec)),
+      state_({config_.name, incarnation, config_.data_centre,
+              config_.caller_address},
+             seed),
+      loop_(state_), callers_(state_, loop_, codec_, limits_of(config_)),
+      instances_(http_, loop_, codec_),
+      rows_(http_, loop_, codec_, config_.store_address)
+{
+    state_.relay.enabled = true;
+    state_.relay.limits = config_.limits;
+    install_handlers();
+}
+
+relay_process::~relay_process()
+{
+    if (stop_timer_ != 0)
+    {
+        g_source_remove(stop_timer_);
+    }
+    if (file_timer_ != 0)
+    {
+        g_source_remove(file_timer_);
+    }
+}
+
+bool relay_process::ready() const
+{
+    auto const &relay = state_.relay;
+    auto const &instances =
+        relay.followers.at(static_cast<std::size_t>(followed_table::instances));
+    return relay.routing->version != 0 && instances.known &&
+           !relay.stopping_since;
+}
+
+void relay_process::install_handlers()
+{
+    auto &handlers = loop_.handlers;
+    handlers.write_log = [this](log_entry const &entry)
+    { write_log_line(config_.name, entry); };
+    handlers.answer_relay = [this](relay_answer const &answer)
+    { callers_.answer(answer); };
+    handlers.call_instance = [this](relay_call const &call)
+    { instances_.call(call); };
+    handlers.cancel_relay = [this](relay_cancel const &cancel)
+    { instances_.cancel(cancel); };
+    handlers.release_kv = [this](kv_release const &release)
+    { instances_.release(release); };
+    handlers.read_rows = [this](row_read const &read) { rows_.read(read); };
+    handlers.write_daemon_row = [this](daemon_row_write const &write)
+    { rows_.write(write); };
+    handlers.stop = [this] { stop_ready_ = true; };
+    callers_.on_hold = [this](request_number request, bool hold)
+    { instances_.hold(request, hold); };
+    readiness_.add(
+        codec_.readiness_path.c_str(),
+        [this](std::shared_ptr<http_exchange> const &request)
+        { request->reply(ready() ? http_ok : http_unavailable, "{}"); });
+    metrics_.add(config_.metrics_path.c_str(),
+                 [this](std::shared_ptr<http_exchange> const &request)
+                 {
+                     request->reply(http_ok, relay_metrics_text(state_),
+                                    "text/plain; version=0.0.4");
+                 });
+}
+
+absl::Status relay_process::start()
+{
+    auto status = callers_.start(config_.caller_address);
+    status.Update(readiness_.listen(config_.readiness_address));
+    status.Update(metrics_.listen(config_.metrics_address));
+    if (!status.ok())
+    {
+        return status;
+    }
+    log(log_level::info, "started",
+        {{"callers", config_.caller_address},
+         {"data_centre", config_.data_centre},
+         {"store", config_.store_address},
+         {"incarnation", std::to_string(state_.identity.incarnation.value())},
+         {"version", AGATELEDGE_VERSION}});
+    if (auto const text = read_settings_file_text(); text)
+    {
+        file_text_ = *text;
+    }
+    file_timer_ = g_timeout_add(
+        file_check_interval_ms,
+        [](gpointer self) -> gboolean
+        {
+            static_cast<relay_process *>(self)->check_file();
+            return G_SOURCE_CONTINUE;
+        },
+        this);
+    loop_.input();
+    return status;
+}
+
+std::optional<std::string> relay_process::read_settings_file_text() const
+{
+    auto const text = read_settings_file(file_);
+    return text.ok() ? std::optional(*text) : std::nullopt;
+}
+
+void relay_process::check_file()
+{
+    auto const text = read_settings_file_text();
+    if (text && *text != file_text_)
+    {
+        reload();
+    }
+}
+
+void relay_process::reload()
+{
+    auto const text = read_settings_file(file_);
+    auto const loaded =
+        text.ok() ? parse_relay_settings(*text, file_) : text.status();
+    if (!loaded.ok())
+    {
+        log(log_level::error, "settings_invalid",
+            {{"fault", std::string(loaded.status().message())}});
+        return;
+    }
+    file_text_ = *text;
+    apply(*loaded);
+}
+
+void relay_process::apply(relay_settings const &config)
+{
+    bool const moved = config.caller_address != config_.caller_address ||
+                       config.readiness_address != config_.readiness_address;
+    state_.relay.limits = config.limits;
+    rows_.set_address(config.store_address);
+    auto const level = set_log_level(config.log_level);
+    log(level.ok() ? log_level::info : log_level::error, "reloaded",
+        {{"store", config.store_address},
+         {"log_level", config.log_level},
+         {"listeners_need_restart", moved ? "true" : "false"}});
+    loop_.input();
+}
+
+void relay_process::shut_down()
+{
+    if (stop_timer_ != 0)
+    {
+        return;
+    }
+    loop_.input().shutdown = true;
+    stop_timer_ = g_timeout_add(
+        stop_check_interval_ms,
+        [](gpointer self) -> gboolean
+        {
+            static_cast<relay_process *>(self)->check_stopped();
+            return G_SOURCE_CONTINUE;
+        },
+        this);
+}
+
+void relay_process::check_stopped()
+{
+    if (stop_ready_ && on_stopped)
+    {
+        log(log_level::info, "stopped", {});
+        std::exchange(on_stopped, {})();
+    }
+}
+
+void relay_process::log(log_level level, std::string event,
+                        std::vector<std::pair<std::string, std::string>> fields)
+{
+    write_log_line(config_.name, {level, std::move(event), std::move(fields)});
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/relay_process.hpp
@@ -0,0 +1,95 @@
+#ifndef AGATELEDGE_RELAY_PROCESS_HPP
+#define AGATELEDGE_RELAY_PROCESS_HPP
+
+#include "daemon_loop.hpp"
+#include "http_client.hpp"
+#include "http_server.hpp"
+#include "ids.hpp"
+#include "instance_client.hpp"
+#include "relay_codec.hpp"
+#include "relay_listener.hpp"
+#include "relay_settings.hpp"
+#include "row_client.hpp"
+#include "world.hpp"
+
+#include "absl/status/status.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace agateledge
+{
+
+/// One daemon behind the platform's balancer, with its adapters, on the default
+/// GLib main context.
+class relay_process
+{
+public:
+    /// @param config settings of the daemon
+    /// @param file settings file, which `reload` reads again
+    /// @param codec speaks the platform's interfaces
+    /// @param incarnation start time
+    /// @param seed seed of the daemon's random decisions
+    relay_process(relay_settings config, std::string file, relay_codec codec,
+                  incarnation_number incarnation, std::uint64_t seed);
+    ~relay_process();
+    relay_process(relay_process const &) = delete;
+    relay_process &operator=(relay_process const &) = delete;
+
+    /// Begins to listen and to follow the store.
+    ///
+    /// @return `settings_invalid` when a setting cannot be used
+    absl::Status start();
+
+    /// Reads the settings file again and puts in force what may change while
+    /// the daemon runs. The old settings stay on a failure.
+    void reload();
+
+    /// Begins a graceful shutdown; `on_stopped` runs at its end.
+    void shut_down();
+
+    world &state() { return state_; }
+    relay_listener &callers() { return callers_; }
+
+    /// @return IP address and port of the readiness listener
+    std::string readiness_address() const { return readiness_.address(); }
+
+    /// @return true while the daemon asks for new connections
+    bool ready() const;
+
+    /// Called once the shutdown has finished.
+    std::function<void()> on_stopped;
+
+private:
+    void install_handlers();
+    void apply(relay_settings const &config);
+    void check_stopped();
+    void check_file();
+    std::optional<std::string> read_settings_file_text() const;
+    void log(log_level level, std::string event,
+             std::vector<std::pair<std::string, std::string>> fields);
+
+    relay_settings config_;
+    std::string file_;
+    std::string file_text_;
+    relay_codec codec_;
+    world state_;
+    daemon_loop loop_;
+    http_client http_;
+    relay_listener callers_;
+    instance_client instances_;
+    row_client rows_;
+    http_server readiness_;
+    http_server metrics_;
+    unsigned stop_timer_ = 0;
+    unsigned file_timer_ = 0;
+    bool stop_ready_ = false;
+};
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/relay_settings.cpp
@@ -0,0 +1,106 @@
+#include "relay_settings.hpp"
+
+#include "settings_reader.hpp"
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr double most_retry_share = 10;
+constexpr double most_retries = 1e6;
+constexpr int most_descriptors = 1 << 20;
+
+void read_listen(settings_reader &root, relay_settings &out)
+{
+    auto const *table = root.table("listen");
+    if (table == nullptr)
+    {
+        root.report("listen", "is missing");
+        return;
+    }
+    auto reader = root.below(*table, "listen");
+    reader.read_address("callers", out.caller_address, true);
+    reader.read_address("readiness", out.readiness_address, true);
+    reader.read_address("metrics", out.metrics_address, true);
+    reader.read("metrics_path", out.metrics_path);
+    reader.finish();
+}
+
+void read_store(settings_reader &root, relay_settings &out)
+{
+    auto const *table = root.table("store");
+    if (table == nullptr)
+    {
+        root.report("store", "is missing");
+        return;
+    }
+    auto reader = root.below(*table, "store");
+    reader.read_address("address", out.store_address, true);
+    reader.finish();
+}
+
+void read_limits(settings_reader &root, relay_settings &out)
+{
+    auto const *table = root.table("limits");
+    if (table == nullptr)
+    {
+        return;
+    }
+    auto reader = root.below(*table, "limits");
+    reader.read("max_descriptors", out.max_descriptors, 64, most_descriptors);
+    reader.read_seconds("shutdown_grace_s", out.limits.shutdown_grace);
+    reader.finish();
+}
+
+void read_retries(settings_reader &root, relay_settings &out)
+{
+    auto const *table = root.table("retries");
+    if (table == nullptr)
+    {
+        return;
+    }
+    auto reader = root.below(*table, "retries");
+    auto &retries = out.limits.retries;
+    reader.read("share", retries.share, 0.0, most_retry_share);
+    reader.read("extra", retries.extra, 0.0, most_retries);
+    reader.read_seconds("window_s", retries.window);
+    reader.finish();
+}
+
+void read_all(settings_reader &root, relay_settings &out)
+{
+    root.read("name", out.name, true);
+    root.read("data_centre", out.data_centre, true);
+    root.read_choice("log_level", out.log_level,
+                     {"debug", "info", "warning", "error"});
+    read_listen(root, out);
+    read_store(root, out);
+    read_limits(root, out);
+    read_retries(root, out);
+    root.finish();
+}
+
+} // namespace
+
+absl::StatusOr<relay_settings> parse_relay_settings(std::string const &text,
+                                                    std::string const &file)
+{
+    relay_settings out;
+    auto const status = read_settings_text(
+        text, file, [&out](settings_reader &root) { read_all(root, out); });
+    if (!status.ok())
+    {
+        return status;
+    }
+    return out;
+}
+
+absl::StatusOr<relay_settings> load_relay_settings(std::string const &file)
+{
+    auto const text = read_settings_file(file);
+    return text.ok() ? parse_relay_settings(*text, file) : text.status();
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/relay_state.hpp
@@ -0,0 +1,101 @@
+#ifndef AGATELEDGE_RELAY_STATE_HPP
+#define AGATELEDGE_RELAY_STATE_HPP
+
+#include "due_queue.hpp"
+#include "ids.hpp"
+#include "instance_table.hpp"
+#include "relay_limits.hpp"
+#include "relay_metrics.hpp"
+#include "relay_table.hpp"
+#include "routing_configuration.hpp"
+#include "row_messages.hpp"
+#include "shared_retry_budget.hpp"
+#include "time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+/// What this daemon knows of one followed table.
+struct table_follower
+{
+    /// The table is to be read whole.
+    bool whole = true;
+    bool in_flight = false;
+    /// Key after which a whole read goes on.
+    std::string after_key;
+    /// Version of the first page of a whole read.
+    std::uint64_t first_page_version = 0;
+    /// Version up to which the table is known.
+    std::uint64_t version = 0;
+    instant next_read{};
+    int failures = 0;
+    /// True once the table has been read whole.
+    bool known = false;
+    instant confirmed_at{};
+};
+
+/// Whether the platform's store answers this daemon.
+struct store_condition
+{
+    bool reachable = false;
+    instant changed_at{};
+    /// Time of the last failed call.
+    std::optional<instant> failed_at;
+    /// Time of the first answer after a failure.
+    instant restored_at{};
+};
+
+/// Learned speed of a service's engines in one role.
+struct prefill_speed
+{
+    /// Prompt tokens that an idle engine reads in a millisecond.
+    double tokens_per_ms = 0;
+};
+
+/// Daemons that are assumed to share the retry budget at least: rows of
+/// daemons that started moments ago may not have been read.
+constexpr double fewest_counted_daemons = 4;
+
+/// Tables of the requests that are passed on unchanged.
+struct relay_state
+{
+    /// False in a daemon that serves only the product's own interface; the
+    /// relay passes then do nothing.
+    bool enabled = false;
+    relay_limits limits;
+    std::shared_ptr<routing_configuration const> routing =
+        std::make_shared<routing_configuration const>();
+    instance_table instances;
+    /// Instances that the pages of the present whole read returned.
+    std::vector<std::string> listed;
+    relay_table requests;
+    /// Requests without a call, oldest first.
+    std::vector<request_number> waiting;
+    due_queue<request_number> expiries;
+    std::map<std::string, shared_retry_budget> budgets;
+    std::array<table_follower, followed_table_count> followers;
+    store_condition store;
+    /// Other daemons by name, with the time at which their row last changed.
+    std::map<std::string, instant> daemons;
+    instant next_daemon_row{};
+    /// Time from which the health of instances is compared again.
+    instant next_judgement{};
+    /// By service and role.
+    std::map<std::pair<std::string, engine_role>, prefill_speed> speeds;
+    relay_metrics metrics;
+    std::optional<instant> stopping_since;
+    /// Last time at which a request was open, while stopping.
+    instant last_open{};
+};
+
+} // namespace agateledge
+
+#endif
--- a/src/result_code.hpp
+++ b/src/result_code.hpp
@@ -23,6 +23,8 @@
     idempotency_key_missing = 106,
     idempotency_key_reused = 107,
     unknown_request = 108,
+    unknown_route = 109,
+    headers_too_large = 110,
     caller_limit = 200,
     deadline_unreachable = 201,
     queue_full = 202,
--- /dev/null
+++ b/src/routing_configuration.cpp
@@ -0,0 +1,32 @@
+#include "routing_configuration.hpp"
+
+#include <algorithm>
+
+namespace agateledge
+{
+
+route_definition const *find_route(routing_configuration const &config,
+                                   std::string_view host, std::string_view path)
+{
+    route_definition const *best = nullptr;
+    for (auto const &route : config.routes)
+    {
+        bool const longer = best == nullptr ||
+                            route.path_prefix.size() > best->path_prefix.size();
+        if (longer && route.host == host && path.starts_with(route.path_prefix))
+        {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+service_profile const *find_service(routing_configuration const &config,
+                                    std::string_view name)
+{
+    auto const found =
+        std::ranges::find(config.services, name, &service_profile::name);
+    return found == config.services.end() ? nullptr : &*found;
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/routing_configuration.hpp
@@ -0,0 +1,85 @@
+#ifndef AGATELEDGE_ROUTING_CONFIGURATION_HPP
+#define AGATELEDGE_ROUTING_CONFIGURATION_HPP
+
+#include "route_definition.hpp"
+#include "time.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace agateledge
+{
+
+/// Model engines of a service; the figures of each one.
+struct engine_profile
+{
+    /// Requests that one engine runs at the same time.
+    int slots = 1;
+    /// Tokens that fit into the KV cache.
+    std::int64_t kv_capacity_tokens = 0;
+    std::int64_t kv_bytes_per_token = 0;
+    /// Rate of the engine's link, in megabits a second.
+    double link_mbps = 0;
+
+    auto operator<=>(engine_profile const &) const = default;
+};
+
+/// Group of instances that serve the same requests.
+struct service_profile
+{
+    std::string name;
+    /// Connections that one instance accepts from all daemons together.
+    int max_connections = 100;
+    /// Set for a service of model engines.
+    std::optional<engine_profile> engine;
+
+    auto operator<=>(service_profile const &) const = default;
+};
+
+/// Bounds on what callers may send.
+struct request_bounds
+{
+    std::int64_t max_header_bytes = std::int64_t{16} * 1024;
+    std::int64_t max_body_bytes = std::int64_t{4} * 1024 * 1024;
+    /// Time in which the header of a request must arrive.
+    duration header_timeout = seconds(3);
+    /// Time for which a kept connection may stay idle.
+    duration idle_timeout = seconds(15);
+
+    auto operator<=>(request_bounds const &) const = default;
+};
+
+/// Routes and services in force, as one version.
+struct routing_configuration
+{
+    /// 0 before the first one is known.
+    std::uint64_t version = 0;
+    std::vector<route_definition> routes;
+    std::vector<service_profile> services;
+    request_bounds bounds;
+
+    auto operator<=>(routing_configuration const &) const = default;
+};
+
+/// Selects the route of a request: that of the host with the longest prefix
+/// that begins the path.
+///
+/// @param config routes to choose from
+/// @param host host name in lower case, without a port
+/// @param path path without the query
+/// @return the route, or null when none matches
+route_definition const *find_route(routing_configuration const &config,
+                                   std::string_view host,
+                                   std::string_view path);
+
+/// @return the profile of the service, or null when it is not configured
+service_profile const *find_service(routing_configuration const &config,
+                                    std::string_view name);
+
+} // namespace agateledge
+
+#endif
--- /dev/null
+++ b/src/row_client.cpp
@@ -0,0 +1,75 @@
+#include "row_client.hpp"
+
+#include "daemon_loop.hpp"
+#include "http_client.hpp"
+#include "relay_codec.hpp"
+
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+constexpr int http_multiple_choices = 300;
+
+/// Time for the write of the daemon's own row, which is written again anyway.
+constexpr duration write_timeout = seconds(2);
+
+log_entry failed_write(http_reply const &reply)
+{
+    log_entry entry;
+    entry.level = log_level::warning;
+    entry.event = "daemon_row_not_written";
+    entry.fields = {{"status", std::to_string(reply.status)},
+                    {"sent", reply.outcome == http_outcome::failed_before_send
+                                 ? "false"
+                                 : "true"}};
+    return entry;
+}
+
+} // namespace
+
+row_client::row_client(http_client &http, daemon_loop &loop,
+                       relay_codec const &codec, std::string address)
+    : http_(http), loop_(loop), codec_(codec), address_(std::move(address))
+{
+}
+
+void row_client::read(row_read const &read)
+{
+    auto request = codec_.encode_row_read(read);
+    request.address = address_;
+    request.total_timeout = read.timeout;
+    http_.send(request,
+               [this, read](http_reply const &reply)
+               {
+                   auto const status = reply.outcome == http_outcome::answered
+                                           ? reply.status
+                                           : 0;
+                   loop_.input().row_read_replies.push_back(
+                       codec_.decode_row_read(read, status, reply.body));
+               });
+}
+
+void row_client::write(daemon_row_write const &write)
+{
+    auto request = codec_.encode_daemon_row(write);
+    request.address = address_;
+    request.total_timeout = write_timeout;
+    http_.send(request,
+               [this](http_reply const &reply)
+               {
+                   bool const done = reply.outcome == http_outcome::answered &&
+                                     reply.status >= http_ok &&
+                                     reply.status < http_multiple_choices;
+                   if (!done && loop_.handlers.write_log)
+                   {
+                       loop_.handlers.write_log(failed_write(reply));
+                   }
+               });
+}
+
+} // namespace agateledge
--- /dev/null
+++ b/src/run_relay.hpp
@@ -0,0 +1,19 @@
+#ifndef AGATELEDGE_RUN_RELAY_HPP
+#define AGATELEDGE_RUN_RELAY_HPP
+
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+/// Runs one daemon behind the platform's balancer until SIGTERM. SIGHUP reads
+/// the settings file again.
+///
+/// @param arguments command line after the subcommand
+/// @return exit code of the process
+int run_relay(std::vector<std::string> const &arguments);
+
+} // namespace agateledge
+
+#endif
--- a/src/run_serve.cpp
+++ b/src/run_serve.cpp
@@ -5,42 +5,13 @@
 #include "json_log.hpp"
 #include "load_settings.hpp"
 #include "raise_descriptor_limit.hpp"
+#include "run_main_loop.hpp"
 
-#include <glib-unix.h>
-
-#include <csignal>
 #include <iostream>
-#include <memory>
 
 namespace agateledge
 {
 
-namespace
-{
-
-struct main_loop_unref
-{
-    void operator()(GMainLoop *loop) const { g_main_loop_unref(loop); }
-};
-
-gboolean stop(gpointer daemon)
-{
-    static_cast<daemon_process *>(daemon)->shut_down();
-    return G_SOURCE_CONTINUE;
-}
-
-gboolean reload(gpointer daemon)
-{
-    auto const status = static_cast<daemon_process *>(daemon)->reload();
-    if (!status.ok())
-    {
-        std::cerr << status.message() << "\n";
-    }
-    return G_SOURCE_CONTINUE;
-}
-
-} // namespace
-
 int run_serve(settings const &config)
 {
     raise_descriptor_limit();
@@ -52,16 +23,7 @@
         std::cerr << status.message() << "\n";
         return exit_usage;
     }
-    std::unique_ptr<GMainLoop, main_loop_unref> const loop(
-        g_main_loop_new(nullptr, FALSE));
-    daemon.on_stopped = [&loop] { g_main_loop_quit(loop.get()); };
-    auto const term = g_unix_signal_add(SIGTERM, stop, &daemon);
-    auto const interrupt = g_unix_signal_add(SIGINT, stop, &daemon);
-    auto const hangup = g_unix_signal_add(SIGHUP, reload, &daemon);
-    g_main_loop_run(loop.get());
-    g_source_remove(term);
-    g_source_remove(interrupt);
-    g_source_remove(hangup);
+    run_main_loop(daemon);
     return exit_success;
 }
 
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -1,9 +1,12 @@
 #include "settings_reader.hpp"
 
+#include "result_code.hpp"
 #include "socket_address.hpp"
 
 #include <algorithm>
 #include <cctype>
+#include <fstream>
+#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -196,6 +199,14 @@
     value = milliseconds(number);
 }
 
+void settings_reader::read_seconds(char const *key, duration &value)
+{
+    constexpr double most = 24.0 * 3600;
+    auto number = to_seconds(value);
+    read(key, number, 0.0, most);
+    value = from_seconds(number);
+}
+
 toml::table const *settings_reader::table(char const *key)
 {
     auto const *node = find(key);
@@ -256,4 +267,44 @@
     }
 }
 
+absl::Status
+read_settings_text(std::string const &text, std::string const &file,
+                   std::function<void(settings_reader &)> const &read)
+{
+    toml::table table;
+    try
+    {
+        table = toml::parse(text, file);
+    }
+    catch (toml::parse_error const &error)
+    {
+        std::ostringstream message;
+        message << file << ":" << error.source().begin.line << ": "
+                << error.description();
+        return make_status(result_code::settings_invalid, message.str());
+    }
+    std::vector<std::string> faults;
+    settings_reader root(table, file, "", faults);
+    read(root);
+    if (faults.empty())
+    {
+        return absl::OkStatus();
+    }
+    std::string lines;
+    std::ranges::for_each(faults, [&lines](std::string const &fault)
+                          { lines += (lines.empty() ? "" : "\n") + fault; });
+    return make_status(result_code::settings_invalid, lines);
+}
+
+absl::StatusOr<std::string> read_settings_file(std::string const &file)
+{
+    std::ifstream stream(file);
+    if (!stream)
+    {
+        return make_status(result_code::settings_invalid,
+                           file + ": cannot be read");
+    }
+    return std::string((std::istreambuf_iterator<char>(stream)), {});
+}
+
 } // namespace agateledge
--- a/src/settings_reader.hpp
+++ b/src/settings_reader.hpp
@@ -3,9 +3,12 @@
 
 #include "time.hpp"
 
+#include "absl/status/statusor.h"
+
 #include <toml++/toml.h>
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,6 +57,9 @@
     /// Reads a time in milliseconds, from 0 to 24 hours.
     void read_milliseconds(char const *key, duration &value);
 
+    /// Reads a time in seconds, with fractions, from 0 to 24 hours.
+    void read_seconds(char const *key, duration &value);
+
     /// @return the table under `key`, or null when it is absent
     toml::table const *table(char const *key);
 
@@ -83,6 +89,18 @@
     std::set<std::string> known_;
 };
 
+/// Reads a settings text by `read` and reports all of its faults.
+///
+/// @param file name that the messages show
+/// @return `settings_invalid` with the faults, one a line: file, line, key and
+///         what is allowed
+absl::Status
+read_settings_text(std::string const &text, std::string const &file,
+                   std::function<void(settings_reader &)> const &read);
+
+/// @return the text of a settings file, or `settings_invalid`
+absl::StatusOr<std::string> read_settings_file(std::string const &file);
+
 } // namespace agateledge
 
 #endif
--- /dev/null
+++ b/src/shared_retry_budget.cpp
@@ -0,0 +1,69 @@
+#include "shared_retry_budget.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Resolution of the sliding window.
+constexpr duration slot_length = milliseconds(500);
+
+/// Part of the bound that is used: the daemons' windows and the platform's do
+/// not begin together, and requests near the edge count in one of them only.
+constexpr double used_part = 0.7;
+
+} // namespace
+
+shared_retry_budget::slot &shared_retry_budget::current(instant now)
+{
+    if (slots_.empty() || now - slots_.back().begin >= slot_length)
+    {
+        slots_.push_back({now, 0, 0});
+    }
+    return slots_.back();
+}
+
+void shared_retry_budget::expire(instant now, duration window)
+{
+    while (!slots_.empty() && now - slots_.front().begin > window + slot_length)
+    {
+        slots_.pop_front();
+    }
+}
+
+void shared_retry_budget::count_request(instant now)
+{
+    ++current(now).requests;
+}
+
+double shared_retry_budget::left(instant now, retry_limits const &limits,
+                                 double daemons)
+{
+    expire(now, limits.window);
+    auto const requests = std::accumulate(slots_.begin(), slots_.end(), 0,
+                                          [](int sum, slot const &item)
+                                          { return sum + item.requests; });
+    auto const extra = std::accumulate(slots_.begin(), slots_.end(), 0,
+                                       [](int sum, slot const &item)
+                                       { return sum + item.extra; });
+    auto const allowed = used_part * (limits.share * requests +
+                                      limits.extra / std::max(1.0, daemons));
+    return allowed - extra;
+}
+
+bool shared_retry_budget::spend(instant now, retry_limits const &limits,
+                                double daemons)
+{
+    if (left(now, limits, daemons) < 1)
+    {
+        return false;
+    }
+    ++current(now).extra;
+    return true;
+}
+
+} // namespace agateledge
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -27,6 +27,7 @@
 #include "prefix_view.hpp"
 #include "query_table.hpp"
 #include "random_source.hpp"
+#include "relay_state.hpp"
 #include "request_table.hpp"
 #include "retry_budget.hpp"
 #include "role_plan.hpp"
@@ -94,6 +95,7 @@
     usage_table usage;
     query_table queries;
     counters totals;
+    relay_state relay;
     fault_switches faults;
     decision_hooks hooks;
     /// True from the shutdown request on.
--- a/tools/run-lint.py
+++ b/tools/run-lint.py
@@ -13,7 +13,7 @@
 import subprocess
 import sys
 
-FOLDERS = ("src", "harness", "tools", "tutorial", "test/*")
+FOLDERS = ("src", "platform", "harness", "tools", "tutorial", "test/*")
 INCLUDE = re.compile(rb'^#include "([^"]+)"', re.MULTILINE)
 JOBS = os.cpu_count() if os.environ.get("CI") else 4
 
@@ -24,7 +24,7 @@
 
 
 def find_header(name, including):
-    for folder in (os.path.dirname(including), "src", "harness"):
+    for folder in (os.path.dirname(including), "src", "platform", "harness"):
         path = os.path.join(folder, name)
         if os.path.exists(path):
             return path
