--- a/src/follow_store.cpp
+++ b/src/follow_store.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace agateledge
 {
@@ -57,7 +58,7 @@
     {
         store.failed_at = w.now;
     }
-    if (store.reachable == reachable)
+    if (std::exchange(store.known, true) && store.reachable == reachable)
     {
         return;
     }
@@ -70,7 +71,9 @@
     log_relay(w, reachable ? log_level::info : log_level::warning,
               reachable ? "store_reachable" : "store_unreachable",
               {{"status", std::to_string(reply.status)},
-               {"table", std::string(name_of(reply.table))}});
+               {"outcome", std::string(name_of(reply.outcome))},
+               {"table", std::string(name_of(reply.table))},
+               {"fault", reply.fault}});
 }
 
 void take_failure(world &w, table_follower &follower,
--- a/src/relay_state.hpp
+++ b/src/relay_state.hpp
@@ -46,6 +46,8 @@
 struct store_condition
 {
     bool reachable = false;
+    /// False until the first reply or failure.
+    bool known = false;
     instant changed_at{};
     /// Time of the last failed call.
     std::optional<instant> failed_at;
--- a/src/row_messages.hpp
+++ b/src/row_messages.hpp
@@ -94,7 +94,7 @@
     std::vector<daemon_row> daemons;
     /// Null when the reply holds none.
     std::shared_ptr<routing_configuration const> configuration;
-    /// A configuration row was there and could not be read.
+    /// What could not be read, or what the store said of a failure.
     std::string fault;
 };
 
