Keep prompts at their homes, and receive KV caches on engines of their own

Cause: a request that left the home of its shared parts read three times as many tokens, which made the next ones leave theirs. Ruled out: eviction (a home's cache turns over in about 20 s, a part is asked for every 4.5 s). Conclusion: reading again is a cost to all, not to one request.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <set>
 #include <vector>
 
 namespace agateledge
@@ -29,9 +30,22 @@
 /// of its answer, and the bytes between data centres.
 constexpr duration remote_cost = milliseconds(4);
 
-/// Weight of reading shared parts again: besides this request it delays the
-/// ones behind it, and it displaces other parts from the cache.
-constexpr double reread_weight = 1.3;
+/// Weight of reading shared parts again. Besides this request it delays those
+/// behind it, which then leave their homes as well: in bursts of long prompts a
+/// weight of 1 let the engines read 43% of the shared parts again, 8 let them
+/// read 7% (docs/measurements.md).
+constexpr double reread_weight = 8;
+
+/// Part of the engines in decode role that receive the KV caches of prompts
+/// that were read elsewhere. They read no prompts while others can, because a
+/// request that was handed over waits behind the prompts that are read there.
+constexpr double receiving_share = 0.25;
+
+/// Cost of handing a KV cache to an engine that reads prompts.
+constexpr duration off_receiver_cost = milliseconds(60);
+
+/// Cost of reading a prompt on a receiving engine.
+constexpr duration receiver_reading_cost = milliseconds(200);
 
 /// An engine in decode role reads at half the speed of one in prefill role and
 /// gets half as many homes.
@@ -43,8 +57,44 @@
     first_event_prediction prediction;
     duration cost{};
     int rank = 0;
+    /// The engine receives the KV caches of prompts that were read elsewhere.
+    bool receives = false;
 };
 
+/// @return true for an engine in decode role that takes new work
+bool decodes(world const &w, std::string const &id)
+{
+    auto const &definition = w.relay.instances.find(id)->definition;
+    return definition.role == engine_role::decode && definition.accepts_work;
+}
+
+/// @return ids of the engines that receive the KV caches of prompts that were
+///         read elsewhere, the same at all daemons; none without engines in
+///         prefill role
+std::set<std::string> receivers_of(world const &w, std::string const &service)
+{
+    auto const &ids = w.relay.instances.of_service(service);
+    bool const any_prefill = std::ranges::any_of(
+        ids,
+        [&w](std::string const &id)
+        {
+            return w.relay.instances.find(id)->definition.role ==
+                   engine_role::prefill;
+        });
+    if (!any_prefill)
+    {
+        return {};
+    }
+    std::vector<std::string> decoding;
+    std::ranges::copy_if(ids, std::back_inserter(decoding),
+                         [&w](std::string const &id)
+                         { return decodes(w, id); });
+    auto const count =
+        std::ceil(receiving_share * static_cast<double>(decoding.size()));
+    decoding.resize(static_cast<std::size_t>(count));
+    return {decoding.begin(), decoding.end()};
+}
+
 double home_score(std::uint64_t key, instance_state const &instance)
 {
     auto const &id = instance.definition.id;
@@ -75,6 +125,7 @@
 {
     std::vector<candidate> fresh;
     std::vector<candidate> rest;
+    auto const receivers = receivers_of(w, request.service);
     for (auto const &id : w.relay.instances.of_service(request.service))
     {
         auto const &instance = *w.relay.instances.find(id);
@@ -84,7 +135,8 @@
         {
             continue;
         }
-        (tried ? rest : fresh).push_back({&instance, {}, {}, 0});
+        (tried ? rest : fresh)
+            .push_back({&instance, {}, {}, 0, receivers.contains(id)});
     }
     return fresh.empty() ? rest : fresh;
 }
@@ -106,13 +158,13 @@
     int rank = 0;
     for (auto const &[score, item] : scores)
     {
-        item->rank = std::min(rank++, last_rank);
+        item->rank = item->receives ? last_rank : std::min(rank++, last_rank);
     }
 }
 
-/// @return wait of the least loaded engine in decode role
-duration least_decode_wait(world const &w, relay_state_entry const &request,
-                           std::vector<candidate> const &candidates)
+/// @return least cost of handing a prompt's KV cache to an engine
+duration least_handover_cost(world const &w, relay_state_entry const &request,
+                             std::vector<candidate> const &candidates)
 {
     duration least = duration::max();
     for (auto const &item : candidates)
@@ -121,7 +173,9 @@
         {
             auto const wait =
                 predict_first_event(w, request, *item.instance, false).wait;
-            least = std::min(least, wait);
+            least = std::min(
+                least, wait + handover_time +
+                           (item.receives ? duration(0) : off_receiver_cost));
         }
     }
     return least;
@@ -136,7 +190,8 @@
     if (request.kept)
     {
         prediction.unread_tokens = 0;
-        prediction.time = prediction.wait + handover_time;
+        prediction.time = prediction.wait + handover_time +
+                          (item.receives ? duration(0) : off_receiver_cost);
     }
     auto const speed = prefill_tokens_per_ms(w, *item.instance);
     auto const shared = request.chain.empty() ? 0 : request.chain.back().tokens;
@@ -145,6 +200,10 @@
     item.cost = prediction.time +
                 from_seconds((reread_weight - 1) * again / speed / 1e3) +
                 rank_cost * item.rank;
+    if (item.receives && !request.kept && request.content->prompt)
+    {
+        item.cost += receiver_reading_cost;
+    }
     if (item.instance->definition.data_centre != w.identity.data_centre)
     {
         item.cost += remote_cost;
@@ -162,16 +221,14 @@
     rank_homes(request, candidates);
     std::ranges::for_each(candidates,
                           [&](candidate &item) { set_cost(w, request, item); });
-    auto const decode_wait = least_decode_wait(w, request, candidates);
+    auto const handover = least_handover_cost(w, request, candidates);
     for (auto &item : candidates)
     {
-        if (item.instance->definition.role != engine_role::prefill)
+        if (item.instance->definition.role == engine_role::prefill)
         {
-            continue;
+            item.cost =
+                handover == duration::max() ? handover : item.cost + handover;
         }
-        item.cost = decode_wait == duration::max()
-                        ? duration::max()
-                        : item.cost + decode_wait + handover_time;
     }
     std::ranges::sort(candidates, {}, &candidate::cost);
     if (candidates.empty() || candidates.front().cost == duration::max())
@@ -186,7 +243,7 @@
     out.prediction = best.prediction;
     if (prefill)
     {
-        out.prediction.time += decode_wait + handover_time;
+        out.prediction.time += handover;
     }
     out.candidates = static_cast<int>(candidates.size());
     out.runner_up = candidates.size() > 1 ? candidates[1].cost : duration(0);
