Tell a reply that breaks off from a whole one

Found by a raw server that closes at each place. Change: lengths are compared; calls on a connection of their own check whether the peer has closed it.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -1,5 +1,7 @@
 #include "http_call.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 
 namespace agateledge
@@ -45,7 +47,6 @@
     if (request.new_connection)
     {
         soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
-        soup_message_headers_replace(headers, "Connection", "close");
     }
     else
     {
@@ -86,6 +87,18 @@
         }
     }
 
+    static void network_event(SoupMessage *, GSocketClientEvent event,
+                              GIOStream *stream, gpointer data)
+    {
+        if (event == G_SOCKET_CLIENT_CONNECTED &&
+            G_IS_SOCKET_CONNECTION(stream))
+        {
+            auto *call = static_cast<http_call *>(data);
+            call->socket_ = gobject_share(
+                g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)));
+        }
+    }
+
     static void sent(GObject *session, GAsyncResult *result, gpointer data)
     {
         auto const call = take_ref(data);
@@ -147,6 +160,11 @@
                      G_CALLBACK(callbacks::connected), this);
     g_signal_connect(message_.get(), "restarted",
                      G_CALLBACK(callbacks::connected), this);
+    if (request.new_connection)
+    {
+        g_signal_connect(message_.get(), "network-event",
+                         G_CALLBACK(callbacks::network_event), this);
+    }
     total_bound_ = request.total_timeout.count() > 0;
     start_timer(total_bound_ ? request.total_timeout : request.connect_timeout);
     soup_session_send_async(session, message_.get(), G_PRIORITY_DEFAULT,
@@ -179,6 +197,7 @@
     {
         stream_.reset();
     }
+    close_connection();
 }
 
 void http_call::resume()
@@ -235,9 +254,11 @@
     }
     if (count == 0)
     {
-        finish(http_outcome::answered);
+        finish(is_whole() ? http_outcome::answered
+                          : http_outcome::failed_after_send);
         return;
     }
+    body_bytes_ += count;
     deliver({buffer_.data(), static_cast<std::size_t>(count)});
     read_next();
 }
@@ -257,6 +278,42 @@
     }
 }
 
+bool http_call::is_whole() const
+{
+    // libsoup reports the end of a body when the connection ends within a body
+    // of known length, or between two chunks.
+    auto *headers = soup_message_get_response_headers(message_.get());
+    switch (soup_message_headers_get_encoding(headers))
+    {
+    case SOUP_ENCODING_CONTENT_LENGTH:
+        return body_bytes_ == soup_message_headers_get_content_length(headers);
+    case SOUP_ENCODING_CHUNKED:
+        return !peer_closed();
+    default:
+        return true;
+    }
+}
+
+bool http_call::peer_closed() const
+{
+    if (!socket_)
+    {
+        return false;
+    }
+    char byte = 0;
+    return recv(g_socket_get_fd(socket_.get()), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+void http_call::close_connection()
+{
+    if (socket_)
+    {
+        g_socket_shutdown(socket_.get(), TRUE, TRUE, nullptr);
+        socket_.reset();
+    }
+}
+
 void http_call::fail()
 {
     finish(connected_ ? http_outcome::failed_after_send
@@ -278,6 +335,7 @@
     if (whole)
     {
         stream_.reset();
+        close_connection();
     }
     else
     {
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -37,15 +37,17 @@
     duration connect_timeout = seconds(2);
     /// Bound on the whole call; 0 for none.
     duration total_timeout{};
-    /// Uses no kept connection, so that a failure before the connect is
-    /// certainly a failure before a byte was sent.
+    /// Uses a connection for this call alone, so that a failure before the
+    /// connect is certainly a failure before a byte was sent, and so that a
+    /// reply that breaks off can be told from a whole one.
     bool new_connection = false;
 };
 
 /// How an outgoing HTTP call ended.
 enum class http_outcome
 {
-    /// The whole reply was read.
+    /// The whole reply was read. A chunked reply on a kept connection may have
+    /// lost its end.
     answered,
     /// No connection was made, so that no byte was sent.
     failed_before_send,
@@ -98,6 +100,9 @@
     void read_next();
     void received(gssize count);
     void deliver(std::string_view bytes);
+    bool is_whole() const;
+    bool peer_closed() const;
+    void close_connection();
     void finish(http_outcome outcome);
     void fail();
 
@@ -105,6 +110,10 @@
     gobject_ptr<GCancellable> cancellable_;
     gobject_ptr<SoupMessage> message_;
     gobject_ptr<GInputStream> stream_;
+    /// Connection that was made for this call alone.
+    gobject_ptr<GSocket> socket_;
+    /// Bytes of the reply's body that were read.
+    goffset body_bytes_ = 0;
     std::array<char, read_size> buffer_{};
     unsigned timer_ = 0;
     bool connected_ = false;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -13,15 +13,15 @@
 constexpr std::size_t max_calls_per_session = 32;
 /// Time after which a silent connection counts as broken.
 constexpr guint io_timeout_seconds = 120;
-constexpr guint idle_timeout_seconds = 30;
 
-SoupSession *make_session()
+SoupSession *make_session(duration idle_time)
 {
+    auto const idle_seconds = std::chrono::ceil<seconds>(idle_time).count();
     auto *session = soup_session_new_with_options(
         "max-conns", static_cast<int>(max_calls_per_session),
         "max-conns-per-host", static_cast<int>(max_calls_per_session),
-        "timeout", io_timeout_seconds, "idle-timeout", idle_timeout_seconds,
-        nullptr);
+        "timeout", io_timeout_seconds, "idle-timeout",
+        static_cast<guint>(idle_seconds), nullptr);
     soup_session_set_proxy_resolver(session, nullptr);
     soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
     soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
@@ -55,7 +55,7 @@
 
 } // namespace
 
-http_client::http_client() = default;
+http_client::http_client(duration idle_time) : idle_time_(idle_time) {}
 
 http_client::~http_client()
 {
@@ -83,7 +83,7 @@
         return *free;
     }
     auto made = std::make_shared<pooled_session>();
-    made->session.reset(make_session());
+    made->session.reset(make_session(idle_time_));
     return sessions.emplace_back(std::move(made));
 }
 
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -28,7 +28,9 @@
 class http_client
 {
 public:
-    http_client();
+    /// @param idle_time time for which an unused connection is kept, in whole
+    ///        seconds
+    explicit http_client(duration idle_time = seconds(30));
     ~http_client();
     http_client(http_client const &) = delete;
     http_client &operator=(http_client const &) = delete;
@@ -62,6 +64,7 @@
     session_for(std::string const &address);
     void release(std::shared_ptr<http_call> const &call);
 
+    duration idle_time_;
     std::unordered_map<std::string,
                        std::vector<std::shared_ptr<pooled_session>>>
         sessions_;
--- a/src/relay_process.hpp
+++ b/src/relay_process.hpp
@@ -80,6 +80,7 @@
     world state_;
     daemon_loop loop_;
     http_client http_;
+    http_client instance_http_;
     relay_listener callers_;
     instance_client instances_;
     row_client rows_;
