Refuse late requests of a stopping daemon; keep the notes of failed requests together

From 3 s on they are refused as not run. Ruled out: slow engines. Logs go to standard output, bounded and without waiting.

--- a/src/admit_relays.cpp
+++ b/src/admit_relays.cpp
@@ -14,6 +14,13 @@
 namespace
 {
 
+/// Time after the shutdown signal for which requests are still taken. Those
+/// taken later might not end before the process is stopped by force.
+constexpr duration service_after_stop = seconds(3);
+
+/// Wait of callers that a stopping daemon sends to another one.
+constexpr duration stopping_retry_after = milliseconds(200);
+
 /// Wait of callers while this daemon does not know the configuration yet.
 constexpr duration unready_retry_after = milliseconds(500);
 
@@ -43,6 +50,12 @@
     return {w.relay.routing, route};
 }
 
+bool stops_taking(world const &w)
+{
+    auto const &since = w.relay.stopping_since;
+    return since && w.now - *since > service_after_stop;
+}
+
 void admit(world &w, relay_arrival const &arrival)
 {
     relay_state_entry entry;
@@ -64,6 +77,13 @@
                      known ? std::nullopt : std::optional(unready_retry_after));
         return;
     }
+    if (stops_taking(w))
+    {
+        refuse_relay(w, arrival.request, result_code::daemon_draining,
+                     "the daemon stops",
+                     spread_retry_after(w, stopping_retry_after));
+        return;
+    }
     auto const &route = *request.route;
     request.expires_at =
         arrival.arrived_at +
@@ -77,10 +97,10 @@
     w.relay.budgets[request.service].count_request(w.now);
     w.relay.expiries.add(request.expires_at, arrival.request);
     w.relay.waiting.push_back(arrival.request);
-    log_request(w, log_level::debug, request, "request_admitted",
-                {{"service", request.service},
-                 {"configuration", std::to_string(w.relay.routing->version)},
-                 {"time_ms", milliseconds_text(request.expires_at - w.now)}});
+    note_request(w, request, "request_admitted",
+                 {{"service", request.service},
+                  {"configuration", std::to_string(w.relay.routing->version)},
+                  {"time_ms", milliseconds_text(request.expires_at - w.now)}});
 }
 
 void leave(world &w, relay_departure const &departure)
@@ -95,9 +115,10 @@
         cancel_attempt(w, *request->attempt, call_result::neutral);
     }
     release_kept_prefill(w, *request);
-    log_request(w, log_level::info, *request, "caller_left",
-                {{"runs", std::to_string(request->runs)},
-                 {"answering", request->answering ? "true" : "false"}});
+    log_request_end(w, log_level::info, *request, "caller_left",
+                    {{"runs", std::to_string(request->runs)},
+                     {"answering", request->answering ? "true" : "false"}},
+                    true);
     ++w.relay.metrics.requests["caller_left"];
     std::erase(w.relay.waiting, departure.request);
     w.relay.requests.erase(departure.request);
--- a/src/advance_relays.cpp
+++ b/src/advance_relays.cpp
@@ -93,11 +93,11 @@
     {
         return;
     }
-    log_request(w, log_level::warning, *request, "call_failed",
-                {{"instance", instance},
-                 {"sent", sent ? "true" : "false"},
-                 {"stage", prefill ? "prefill" : "run"},
-                 {"reason", reason}});
+    note_request(w, *request, "call_failed",
+                 {{"instance", instance},
+                  {"sent", sent ? "true" : "false"},
+                  {"stage", prefill ? "prefill" : "run"},
+                  {"reason", reason}});
     if (!sent)
     {
         request->runs -= prefill ? 0 : 1;
@@ -127,10 +127,10 @@
     {
         return;
     }
-    log_request(w, log_level::info, *request, "call_refused",
-                {{"instance", id},
-                 {"status", std::to_string(head.status)},
-                 {"wrong_instance", head.wrong_instance ? "true" : "false"}});
+    note_request(w, *request, "call_refused",
+                 {{"instance", id},
+                  {"status", std::to_string(head.status)},
+                  {"wrong_instance", head.wrong_instance ? "true" : "false"}});
     request->runs -= prefill ? 0 : 1;
     request->prefill_failed |= prefill || request->kept.has_value();
     release_kept_prefill(w, *request);
@@ -367,8 +367,8 @@
                                  instance->definition.address, result.handle};
     close_attempt(w, result.attempt, call_result::succeeded);
     w.relay.waiting.push_back(request->number);
-    log_request(w, log_level::debug, *request, "prompt_read",
-                {{"instance", request->kept->instance}});
+    note_request(w, *request, "prompt_read",
+                 {{"instance", request->kept->instance}});
 }
 
 } // namespace
--- a/src/json_log.cpp
+++ b/src/json_log.cpp
@@ -1,10 +1,10 @@
 #include "json_log.hpp"
 
+#include "bounded_appender.hpp"
 #include "json_text.hpp"
 #include "result_code.hpp"
 
 #include <log4cplus/configurator.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -80,12 +80,11 @@
 
 } // namespace
 
-absl::Status start_log(std::string_view level)
+absl::Status start_log(std::string_view level, int descriptor)
 {
     auto &logger = root_logger();
     logger.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new bounded_appender(descriptor));
     // The message is a JSON object without its first brace, so that the layout
     // can put the time in front.
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
--- a/src/json_log.hpp
+++ b/src/json_log.hpp
@@ -11,11 +11,13 @@
 namespace agateledge
 {
 
-/// Prepares the log: one JSON object a line on standard error, by log4cplus.
+/// Prepares the log: one JSON object a line, by log4cplus. Writing never waits
+/// for the reader; see `bounded_appender`.
 ///
 /// @param level "debug", "info", "warning" or "error"
+/// @param descriptor where lines are written; standard output by default
 /// @return `settings_invalid` for another level
-absl::Status start_log(std::string_view level);
+absl::Status start_log(std::string_view level, int descriptor = 1);
 
 /// Changes the level while the process runs.
 absl::Status set_log_level(std::string_view level);
--- a/src/log_relay.cpp
+++ b/src/log_relay.cpp
@@ -2,13 +2,35 @@
 
 #include "world.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <iterator>
+#include <utility>
 
 namespace agateledge
 {
 
+namespace
+{
+
+/// Notes that are kept of one request: three calls with all their decisions.
+constexpr std::size_t most_notes = 16;
+
+log_fields with_request(world const &w, relay_state_entry const &request,
+                        log_fields fields)
+{
+    log_fields all{
+        {"request", request.content->caller_attempt},
+        {"route", request.route ? request.route->name : std::string()},
+        {"age_ms", milliseconds_text(w.now - request.arrived_at)},
+    };
+    std::ranges::move(fields, std::back_inserter(all));
+    return all;
+}
+
+} // namespace
+
 std::string milliseconds_text(duration value)
 {
     std::array<char, 32> text{};
@@ -22,16 +44,26 @@
     w.out.log_entries.push_back({level, std::move(event), std::move(fields)});
 }
 
-void log_request(world &w, log_level level, relay_state_entry const &request,
-                 std::string event, log_fields fields)
+void note_request(world &w, relay_state_entry &request, std::string event,
+                  log_fields fields)
 {
-    log_fields all{
-        {"request", request.content->caller_attempt},
-        {"route", request.route ? request.route->name : std::string()},
-        {"age_ms", milliseconds_text(w.now - request.arrived_at)},
-    };
-    std::ranges::move(fields, std::back_inserter(all));
-    log_relay(w, level, std::move(event), std::move(all));
+    if (request.trail.size() < most_notes)
+    {
+        request.trail.push_back({log_level::info, std::move(event),
+                                 with_request(w, request, std::move(fields))});
+    }
+}
+
+void log_request_end(world &w, log_level level, relay_state_entry &request,
+                     std::string event, log_fields fields, bool with_notes)
+{
+    if (with_notes)
+    {
+        std::ranges::move(std::exchange(request.trail, {}),
+                          std::back_inserter(w.out.log_entries));
+    }
+    log_relay(w, level, std::move(event),
+              with_request(w, request, std::move(fields)));
 }
 
 } // namespace agateledge
--- a/src/place_relays.cpp
+++ b/src/place_relays.cpp
@@ -68,13 +68,13 @@
     return call;
 }
 
-void log_placement(world &w, relay_state_entry const &request,
-                   instance_state const &instance,
-                   instance_choice const &choice)
+void note_placement(world &w, relay_state_entry &request,
+                    instance_state const &instance,
+                    instance_choice const &choice)
 {
     auto const &prediction = choice.prediction;
-    log_request(
-        w, log_level::debug, request, "request_placed",
+    note_request(
+        w, request, "request_placed",
         {{"instance", choice.instance},
          {"stage", choice.stage == relay_stage::prefill ? "prefill" : "run"},
          {"row_version", std::to_string(instance.row_version)},
@@ -95,7 +95,7 @@
     bool const prefill = choice.stage == relay_stage::prefill;
     w.out.relay_calls.push_back(
         make_call(w, request, instance, choice, attempt));
-    log_placement(w, request, instance, choice);
+    note_placement(w, request, instance, choice);
     relay.requests.add({attempt, request.number, choice.instance, choice.stage,
                         w.now, choice.prediction.time,
                         choice.prediction.unread_tokens,
--- a/src/relay_lifecycle.cpp
+++ b/src/relay_lifecycle.cpp
@@ -110,14 +110,15 @@
     reply.code = code;
     reply.message = message;
     reply.retry_after = retry_after;
-    log_request(w, log_level::warning, *request, "request_failed",
-                {{"code", std::string(name_of(code))},
-                 {"reason", message},
-                 {"runs", std::to_string(request->runs)},
-                 {"sends", std::to_string(request->sends)},
-                 {"answering", request->answering ? "true" : "false"},
-                 {"retry_after_ms",
-                  retry_after ? milliseconds_text(*retry_after) : ""}});
+    log_request_end(w, log_level::warning, *request, "request_failed",
+                    {{"code", std::string(name_of(code))},
+                     {"reason", message},
+                     {"runs", std::to_string(request->runs)},
+                     {"sends", std::to_string(request->sends)},
+                     {"answering", request->answering ? "true" : "false"},
+                     {"retry_after_ms",
+                      retry_after ? milliseconds_text(*retry_after) : ""}},
+                    true);
     answer(w, std::move(reply));
     ++w.relay.metrics.requests[request->answering ? "cut" : "refused"];
     drop_request(w, number);
@@ -145,7 +146,7 @@
 
 void finish_relay(world &w, request_number number, std::string const &outcome)
 {
-    auto const *request = w.relay.requests.find(number);
+    auto *request = w.relay.requests.find(number);
     if (request == nullptr)
     {
         return;
@@ -155,13 +156,14 @@
     ++w.relay.metrics.requests[outcome];
     bool const late =
         first - request->arrived_at > request->route->target_latency;
-    log_request(
+    log_request_end(
         w, log_level::info, *request, "request_finished",
         {{"outcome", outcome},
          {"first_event_ms", milliseconds_text(first - request->arrived_at)},
          {"target_ms", milliseconds_text(request->route->target_latency)},
          {"late", late ? "true" : "false"},
-         {"sends", std::to_string(request->sends)}});
+         {"sends", std::to_string(request->sends)}},
+        late || outcome != "answered");
     drop_request(w, number);
 }
 
@@ -184,19 +186,19 @@
                      std::max(daemons, fewest_counted_daemons)))
     {
         ++relay.metrics.retries_denied;
-        log_request(w, log_level::warning, request, "retry_denied",
-                    {{"reason", reason},
-                     {"daemons", std::to_string(relay.daemons.size())}});
+        note_request(w, request, "retry_denied",
+                     {{"reason", reason},
+                      {"daemons", std::to_string(relay.daemons.size())}});
         return false;
     }
     ++relay.metrics.retries;
     request.not_before = next;
     relay.waiting.push_back(request.number);
-    log_request(w, log_level::info, request, "request_retried",
-                {{"reason", reason},
-                 {"runs", std::to_string(request.runs)},
-                 {"sends", std::to_string(request.sends)},
-                 {"resume_after", request.last_event}});
+    note_request(w, request, "request_retried",
+                 {{"reason", reason},
+                  {"runs", std::to_string(request.runs)},
+                  {"sends", std::to_string(request.sends)},
+                  {"resume_after", request.last_event}});
     return true;
 }
 
--- a/src/relay_table.hpp
+++ b/src/relay_table.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_RELAY_TABLE_HPP
 
 #include "ids.hpp"
+#include "outbox.hpp"
 #include "prompt_cache_view.hpp"
 #include "relay_messages.hpp"
 #include "route_definition.hpp"
@@ -60,6 +61,9 @@
     std::string body;
     std::optional<instant> first_sent_at;
     std::optional<instant> first_event_at;
+    /// Lines on the decisions so far, written when the request fails or is
+    /// late.
+    std::vector<log_entry> trail;
 };
 
 /// Open call to an instance.
--- a/src/run_dev.cpp
+++ b/src/run_dev.cpp
@@ -15,6 +15,8 @@
 #include <glib.h>
 #include <glib/gstdio.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <fstream>
 #include <iostream>
@@ -270,7 +272,7 @@
     {
         return loaded;
     }
-    auto const log = start_log(loaded->log_level);
+    auto const log = start_log(loaded->log_level, STDERR_FILENO);
     return log.ok() ? std::move(loaded) : absl::StatusOr<settings>(log);
 }
 
