Let long prompts wait for their engine at the daemon

Change: from 16 requests at an engine, shared out over the daemons, prompts of 2,000 tokens and more wait here, by urgency, and are refused at once when the queue is longer than their time.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -36,6 +36,15 @@
 /// read 7% (docs/measurements.md).
 constexpr double reread_weight = 8;
 
+/// Requests that one engine runs at once, over all daemons, before long prompts
+/// wait. An engine admits all that fit and reads them side by side, so that
+/// each of many is late, and their memory displaces the shared parts from its
+/// cache.
+constexpr double requests_at_once = 16;
+
+/// Prompts with fewer tokens to read never wait for others.
+constexpr int short_prompt_tokens = 2000;
+
 /// Part of the engines in decode role that receive the KV caches of prompts
 /// that were read elsewhere. They read no prompts while others can, because a
 /// request that was handed over waits behind the prompts that are read there.
@@ -212,6 +221,21 @@
     item.cost += from_seconds(to_seconds(rank_cost) * w.random.uniform());
 }
 
+/// @return true when the engine runs as many requests as it should; short
+///         prompts are taken all the same
+bool is_full(world const &w, instance_state const &instance,
+             first_event_prediction const &prediction)
+{
+    if (prediction.unread_tokens < short_prompt_tokens)
+    {
+        return false;
+    }
+    auto const daemons = std::max(static_cast<double>(w.relay.daemons.size()),
+                                  fewest_counted_daemons);
+    return static_cast<double>(instance.open_calls.size()) >=
+           std::ceil(requests_at_once / daemons);
+}
+
 } // namespace
 
 std::optional<instance_choice> choose_instance(world &w,
@@ -237,6 +261,7 @@
     }
     auto const &best = candidates.front();
     instance_choice out;
+    out.full = is_full(w, *best.instance, best.prediction);
     out.instance = best.instance->definition.id;
     bool const prefill = best.instance->definition.role == engine_role::prefill;
     out.stage = prefill ? relay_stage::prefill : relay_stage::run;
--- a/src/choose_instance.hpp
+++ b/src/choose_instance.hpp
@@ -19,6 +19,8 @@
     std::string instance;
     relay_stage stage = relay_stage::run;
     first_event_prediction prediction;
+    /// The instance has as much work as it should; the request waits.
+    bool full = false;
     /// Instances that were compared.
     int candidates = 0;
     /// Cost of the next best candidate, for the log.
--- a/src/place_relays.cpp
+++ b/src/place_relays.cpp
@@ -6,6 +6,8 @@
 #include "world.hpp"
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -118,8 +120,29 @@
         static_cast<std::uint64_t>(choice.prediction.unread_tokens);
 }
 
-/// Sends or refuses the request.
-void place(world &w, request_number number)
+/// Prompt tokens of this daemon's waiting requests by the engine that they wait
+/// for.
+using queued_tokens = std::map<std::string, double>;
+
+/// @return time until an engine has read the prompts that wait for it here and,
+///         as far as they are like this one, at the other daemons
+duration queue_time(world const &w, instance_choice const &choice,
+                    queued_tokens const &queued)
+{
+    auto const found = queued.find(choice.instance);
+    if (!choice.full || found == queued.end())
+    {
+        return duration(0);
+    }
+    auto const daemons = std::max(static_cast<double>(w.relay.daemons.size()),
+                                  fewest_counted_daemons);
+    auto const speed =
+        prefill_tokens_per_ms(w, *w.relay.instances.find(choice.instance));
+    return from_seconds(found->second * daemons / speed / 1e3);
+}
+
+/// Sends or refuses the request, or lets it wait.
+void place(world &w, request_number number, queued_tokens &queued)
 {
     auto &request = *w.relay.requests.find(number);
     auto const choice = choose_instance(w, request);
@@ -129,15 +152,23 @@
         return;
     }
     auto const left = request.expires_at - w.now;
-    if (request.runs == 0 && choice->prediction.time > left)
+    auto const needed =
+        choice->prediction.time + queue_time(w, *choice, queued);
+    if (request.runs == 0 && needed > left)
     {
-        auto const excess = choice->prediction.time - left;
+        auto const excess = needed - left;
         refuse_relay(
             w, number, result_code::deadline_unreachable,
             "the earliest first event is predicted after the deadline",
             spread_retry_after(w, std::max(excess * 2, shortest_retry_after)));
         return;
     }
+    if (choice->full)
+    {
+        queued[choice->instance] += choice->prediction.unread_tokens;
+        w.relay.waiting.push_back(number);
+        return;
+    }
     send(w, request, *choice);
 }
 
@@ -154,6 +185,7 @@
         due, {},
         [&w](request_number number)
         { return w.relay.requests.find(number)->route->priority; });
+    queued_tokens queued;
     for (auto const number : due)
     {
         auto const not_before = w.relay.requests.find(number)->not_before;
@@ -163,7 +195,7 @@
             wake_at(w, not_before);
             continue;
         }
-        place(w, number);
+        place(w, number, queued);
     }
 }
 
--- a/test/correctness/relay_placement_test.cpp
+++ b/test/correctness/relay_placement_test.cpp
@@ -112,6 +112,23 @@
     EXPECT_TRUE(out.relay_answers.front().retry_after.has_value());
 }
 
+// Side by side on one engine, all of a burst of long prompts are late, and their
+// memory displaces the shared parts.
+TEST(relay_placement, long_prompts_wait_for_their_engine_and_short_ones_do_not)
+{
+    relay_fixture daemon;
+    daemon.list_engines(1, engine_role::decode);
+    std::size_t long_calls = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        daemon.send("/once/1", 1, shared_tokens, own_tokens);
+        long_calls += daemon.advance(milliseconds(5)).relay_calls.size();
+    }
+    EXPECT_LE(long_calls, 4U);
+    daemon.send("/chat/1", 2, 0, 900);
+    EXPECT_EQ(daemon.advance(milliseconds(5)).relay_calls.size(), 1U);
+}
+
 TEST(relay_placement, a_failing_endpoint_is_avoided)
 {
     relay_fixture daemon;
