--- a/harness/fixed_reply_server.cpp
+++ b/harness/fixed_reply_server.cpp
@@ -1,5 +1,7 @@
 #include "fixed_reply_server.hpp"
 
+#include "internal_assert.hpp"
+
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -28,9 +30,11 @@
       listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     auto const address = loopback();
-    bind(listener_, reinterpret_cast<sockaddr const *>(&address),
-         sizeof(address));
-    listen(listener_, 1);
+    internal_assert(bind(listener_,
+                         reinterpret_cast<sockaddr const *>(&address),
+                         sizeof(address)) == 0 &&
+                        listen(listener_, 1) == 0,
+                    "no loopback port is free");
     thread_ = std::thread([this] { serve(); });
 }
 
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -141,7 +141,7 @@
 {
     auto keys = load_keys();
     auto certificate = callers_.gate().reload_certificate();
-    auto const status = keys.ok() ? certificate : keys;
+    auto status = keys.ok() ? certificate : keys;
     if (!status.ok())
     {
         write_log_line(config_.name,
--- a/src/run_check.cpp
+++ b/src/run_check.cpp
@@ -2,6 +2,7 @@
 
 #include "command_options.hpp"
 #include "load_settings.hpp"
+#include "relay_settings.hpp"
 #include "settings.hpp"
 
 #include <iostream>
@@ -9,16 +10,39 @@
 namespace agateledge
 {
 
+namespace
+{
+
+int check_relay(std::string const &file)
+{
+    auto const loaded = load_relay_settings(file);
+    if (!loaded.ok())
+    {
+        std::cerr << loaded.status().message() << "\n";
+        return exit_usage;
+    }
+    std::cout << file << ": valid; callers " << loaded->caller_address
+              << ", store " << loaded->store_address << "\n";
+    return exit_success;
+}
+
+} // namespace
+
 int run_check(std::vector<std::string> const &arguments)
 {
     command_options options("agateledge check: checks a settings file");
     options.add()("settings", boost::program_options::value<std::string>(),
-                  "TOML file to check");
+                  "TOML file to check")("relay",
+                                        "the file is for `agateledge relay`");
     if (auto const code = options.parse(arguments, {"settings"}))
     {
         return *code;
     }
     auto const file = options.values()["settings"].as<std::string>();
+    if (options.values().count("relay") != 0)
+    {
+        return check_relay(file);
+    }
     auto const loaded = load_settings(file);
     if (!loaded.ok())
     {
--- a/src/run_relay.cpp
+++ b/src/run_relay.cpp
@@ -38,7 +38,10 @@
         return exit_usage;
     }
     run_main_loop(daemon);
-    return exit_success;
+    // All answers are written and the log is not buffered. Taking the sessions
+    // apart waits for their open calls, longer than a planned stop may last;
+    // the kernel closes their sockets.
+    std::_Exit(exit_success);
 }
 
 } // namespace
--- a/test/correctness/relay_placement_test.cpp
+++ b/test/correctness/relay_placement_test.cpp
@@ -112,8 +112,8 @@
     EXPECT_TRUE(out.relay_answers.front().retry_after.has_value());
 }
 
-// Side by side on one engine, all of a burst of long prompts are late, and their
-// memory displaces the shared parts.
+// Side by side on one engine, all of a burst of long prompts are late, and
+// their memory displaces the shared parts.
 TEST(relay_placement, long_prompts_wait_for_their_engine_and_short_ones_do_not)
 {
     relay_fixture daemon;
