--- /dev/null
+++ b/test/error/platform_codec_test.cpp
@@ -0,0 +1,154 @@
+// Guards against headers that only the system may set reaching an engine from a
+// caller, and against entries or replies that cannot be read being acted on.
+#include "directory_codec.hpp"
+#include "platform_codec.hpp"
+#include "random_source.hpp"
+#include "relay_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace
+{
+
+using namespace agateledge;
+
+constexpr char const *entry =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":64,"state":"ready","cold_remaining_ms":0,"stage":"decode",)"
+    R"("sequence":4,"born":1700000000000})";
+
+received_request request_with(header_list const &headers)
+{
+    received_request out;
+    out.method = "POST";
+    out.target = "/a/b?c=%20";
+    out.headers = headers;
+    out.body = std::make_shared<std::string const>("x");
+    return out;
+}
+
+std::string value_in(header_list const &headers, std::string const &name)
+{
+    auto const found = std::ranges::find(
+        headers, name, &std::pair<std::string, std::string>::first);
+    return found == headers.end() ? "" : found->second;
+}
+
+std::string replaced(std::string text, std::string const &from,
+                     std::string const &to)
+{
+    auto const place = text.find(from);
+    EXPECT_NE(place, std::string::npos) << from;
+    return text.replace(place, from.size(), to);
+}
+
+TEST(platform_codec, a_caller_cannot_set_what_only_the_system_sets)
+{
+    auto const codec = platform::make_codec();
+    auto const request =
+        codec.decode_request(request_with({{"Host", "A.example:80"},
+                                           {"Attempt-Id", "a1"},
+                                           {"kv-hold", "h"},
+                                           {"Pin-Ms", "9"},
+                                           {"Kv-Source", "1.2.3.4:5/x"},
+                                           {"Target-Instance", "other"},
+                                           {"Connection", "close, X-Hop"},
+                                           {"X-Hop", "1"},
+                                           {"X-Kept", "2"},
+                                           {"Deadline-Ms", "700"}}));
+    ASSERT_TRUE(request.ok());
+    EXPECT_EQ(request->host, "a.example");
+    EXPECT_EQ(request->patience, milliseconds(700));
+    relay_call call;
+    call.content = std::make_shared<relay_request const>(*request);
+    call.instance = "i-1";
+    call.time_left = milliseconds(650);
+    auto const sent = codec.encode_call(call);
+    EXPECT_EQ(sent.path, "/a/b?c=%20");
+    EXPECT_EQ(value_in(sent.headers, "Target-Instance"), "i-1");
+    EXPECT_EQ(value_in(sent.headers, "Deadline-Ms"), "650");
+    EXPECT_EQ(value_in(sent.headers, "X-Kept"), "2");
+    for (auto const *name : {"kv-hold", "Pin-Ms", "Kv-Source", "X-Hop"})
+    {
+        EXPECT_EQ(value_in(sent.headers, name), "") << name;
+    }
+}
+
+TEST(platform_codec, a_request_with_two_lengths_or_no_id_is_refused)
+{
+    auto const codec = platform::make_codec();
+    EXPECT_FALSE(codec.decode_request(request_with({{"Host", "a"}})).ok());
+    EXPECT_FALSE(
+        codec
+            .decode_request(request_with({{"Attempt-Id", "a"},
+                                          {"Content-Length", "1"},
+                                          {"Transfer-Encoding", "chunked"}}))
+            .ok());
+}
+
+TEST(platform_codec, a_reply_for_another_attempt_or_instance_is_told)
+{
+    auto const codec = platform::make_codec();
+    relay_request content;
+    content.caller_attempt = "a1";
+    relay_call call;
+    call.content = std::make_shared<relay_request const>(content);
+    call.instance = "i-1";
+    EXPECT_TRUE(codec.decode_head(call, {200, {{"Attempt-Id", "a2"}}}).foreign);
+    auto const other = codec.decode_head(call, {421, {{"Instance-Id", "i-2"}}});
+    EXPECT_TRUE(other.not_run);
+    EXPECT_TRUE(other.wrong_instance);
+    EXPECT_TRUE(
+        codec.decode_head(call, {503, {{"not-executed", "1"}}}).not_run);
+    EXPECT_FALSE(codec.decode_head(call, {503, {}}).not_run);
+}
+
+TEST(platform_codec, entries_of_another_writer_name_no_instance)
+{
+    ASSERT_TRUE(platform::decode_instance("i", entry));
+    for (auto const &[from, to] :
+         {std::pair{R"("ready")", R"("warm")"},
+          std::pair{R"("10.0.0.1:80")", R"("nowhere")"},
+          std::pair{R"("slots":64)", R"("slots":"64")"},
+          std::pair{R"("decode")", R"("cook")"},
+          std::pair{R"("born":1700000000000)", R"("born":1.5)"},
+          std::pair{R"("zone":"z",)", ""}})
+    {
+        EXPECT_FALSE(platform::decode_instance("i", replaced(entry, from, to)))
+            << to;
+    }
+}
+
+TEST(platform_codec, damaged_documents_are_refused_without_a_crash)
+{
+    auto const codec = platform::make_codec();
+    random_source random(20261204);
+    constexpr int rounds = 3000;
+    std::string const config =
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+        R"("route_type":"streaming","service":"s"}],"services":[]})";
+    std::string const rows = R"({"rows":[{"key":"i","row_version":3,)"
+                             R"("value":"e30="}],"row_version":4})";
+    row_read read;
+    read.table = followed_table::instances;
+    for (int i = 0; i < rounds; ++i)
+    {
+        auto text = i % 2 == 0 ? config : rows;
+        auto const place = random.below(text.size());
+        text[place] = static_cast<char>(random.below(256));
+        if (i % 3 == 0)
+        {
+            text.resize(place);
+        }
+        static_cast<void>(platform::decode_configuration(text).ok());
+        auto const reply = codec.decode_row_read(read, 200, text);
+        EXPECT_TRUE(std::ranges::none_of(reply.instances,
+                                         [](instance_row const &row)
+                                         { return row.instance != nullptr; }));
+    }
+}
+
+} // namespace
