--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -67,6 +67,12 @@
     return message;
 }
 
+bool closes_after_reply(SoupMessageHeaders *headers)
+{
+    return soup_message_headers_header_contains(headers, "Connection",
+                                                "close") == TRUE;
+}
+
 } // namespace
 
 struct http_call::callbacks
@@ -288,7 +294,8 @@
     case SOUP_ENCODING_CONTENT_LENGTH:
         return body_bytes_ == soup_message_headers_get_content_length(headers);
     case SOUP_ENCODING_CHUNKED:
-        return !peer_closed();
+        // An engine that leaves announces the close after its whole reply.
+        return closes_after_reply(headers) || !peer_closed();
     default:
         return true;
     }
--- a/test/error/truncated_reply_test.cpp
+++ b/test/error/truncated_reply_test.cpp
@@ -45,6 +45,24 @@
     EXPECT_EQ(outcome_of(reply, reply_ending::close), http_outcome::answered);
 }
 
+constexpr char const *closing_head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    "Connection: close\r\n\r\n";
+
+// A leaving engine ends its streams like this; they were cut as torn.
+TEST(truncated_reply, a_whole_chunked_body_may_announce_the_close)
+{
+    auto const reply = std::string(closing_head) + "4\r\nabcd\r\n0\r\n\r\n";
+    EXPECT_EQ(outcome_of(reply, reply_ending::close), http_outcome::answered);
+}
+
+TEST(truncated_reply, a_chunked_body_without_its_end_may_not)
+{
+    auto const reply = std::string(closing_head) + "4\r\nabcd\r\n";
+    EXPECT_EQ(outcome_of(reply, reply_ending::close),
+              http_outcome::failed_after_send);
+}
+
 TEST(truncated_reply, a_chunked_body_without_its_end_has_failed)
 {
     auto const reply = std::string(chunked_head) + "4\r\nabcd\r\n";
