Say once how results age, who shares a bound, and what a handover costs

Cause: reading the diff again. The ageing of call results stood in relay_lifecycle and in judge_instances with the half-life twice, the number of sharing daemons in three places, the cost of a handover in two; each placement predicted every decode engine twice and searched the directory by id for each engine of a service. Change: instance_health::results_at, relay_state::sharing_daemons, handover_cost; the directory lists a service's instances themselves; the receivers are counted while the candidates are gathered; a struct around one number is gone.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <set>
 #include <vector>
 
 namespace agateledge
@@ -60,6 +59,13 @@
 /// gets half as many homes.
 constexpr double prefill_home_weight = 2;
 
+/// @return true for an engine in decode role that takes new work
+bool decodes(instance_state const *instance)
+{
+    auto const &definition = instance->definition;
+    return definition.role == engine_role::decode && definition.accepts_work;
+}
+
 struct candidate
 {
     instance_state const *instance = nullptr;
@@ -70,38 +76,21 @@
     bool receives = false;
 };
 
-/// @return true for an engine in decode role that takes new work
-bool decodes(world const &w, std::string const &id)
-{
-    auto const &definition = w.relay.instances.find(id)->definition;
-    return definition.role == engine_role::decode && definition.accepts_work;
-}
-
-/// @return ids of the engines that receive the KV caches of prompts that were
-///         read elsewhere, the same at all daemons; none without engines in
-///         prefill role
-std::set<std::string> receivers_of(world const &w, std::string const &service)
+/// @return number of engines that receive the KV caches of prompts that were
+///         read elsewhere: the first ones in decode role, which are the same at
+///         all daemons; none without engines in prefill role
+int count_receivers(std::vector<instance_state const *> const &instances)
 {
-    auto const &ids = w.relay.instances.of_service(service);
     bool const any_prefill = std::ranges::any_of(
-        ids,
-        [&w](std::string const &id)
-        {
-            return w.relay.instances.find(id)->definition.role ==
-                   engine_role::prefill;
-        });
+        instances, [](instance_state const *item)
+        { return item->definition.role == engine_role::prefill; });
     if (!any_prefill)
     {
-        return {};
+        return 0;
     }
-    std::vector<std::string> decoding;
-    std::ranges::copy_if(ids, std::back_inserter(decoding),
-                         [&w](std::string const &id)
-                         { return decodes(w, id); });
-    auto const count =
-        std::ceil(receiving_share * static_cast<double>(decoding.size()));
-    decoding.resize(static_cast<std::size_t>(count));
-    return {decoding.begin(), decoding.end()};
+    auto const decoding = std::ranges::count_if(instances, decodes);
+    return static_cast<int>(
+        std::ceil(receiving_share * static_cast<double>(decoding)));
 }
 
 double home_score(std::uint64_t key, instance_state const &instance)
@@ -132,20 +121,21 @@
 std::vector<candidate> candidates_of(world const &w,
                                      relay_state_entry const &request)
 {
+    auto const &instances = w.relay.instances.of_service(request.service);
+    auto receivers_left = count_receivers(instances);
     std::vector<candidate> fresh;
     std::vector<candidate> rest;
-    auto const receivers = receivers_of(w, request.service);
-    for (auto const &id : w.relay.instances.of_service(request.service))
+    for (auto const *instance : instances)
     {
-        auto const &instance = *w.relay.instances.find(id);
-        bool const tried =
-            std::ranges::find(request.tried, id) != request.tried.end();
-        if (!may_take(w, request, instance))
+        bool const receives = decodes(instance) && receivers_left-- > 0;
+        if (!may_take(w, request, *instance))
         {
             continue;
         }
-        (tried ? rest : fresh)
-            .push_back({&instance, {}, {}, 0, receivers.contains(id)});
+        auto const &tried = request.tried;
+        bool const again =
+            std::ranges::find(tried, instance->definition.id) != tried.end();
+        (again ? rest : fresh).push_back({instance, {}, {}, 0, receives});
     }
     return fresh.empty() ? rest : fresh;
 }
@@ -171,20 +161,22 @@
     }
 }
 
-/// @return least cost of handing a prompt's KV cache to an engine
-duration least_handover_cost(world const &w, relay_state_entry const &request,
-                             std::vector<candidate> const &candidates)
+/// @return time until an engine goes on with a prompt that was read elsewhere
+duration handover_cost(candidate const &item)
+{
+    return item.prediction.wait + handover_time +
+           (item.receives ? duration(0) : off_receiver_cost);
+}
+
+/// @return least time until any engine does; the longest one when there is none
+duration least_handover_cost(std::vector<candidate> const &candidates)
 {
     duration least = duration::max();
     for (auto const &item : candidates)
     {
         if (item.instance->definition.role != engine_role::prefill)
         {
-            auto const wait =
-                predict_first_event(w, request, *item.instance, false).wait;
-            least = std::min(
-                least, wait + handover_time +
-                           (item.receives ? duration(0) : off_receiver_cost));
+            least = std::min(least, handover_cost(item));
         }
     }
     return least;
@@ -199,8 +191,7 @@
     if (request.kept)
     {
         prediction.unread_tokens = 0;
-        prediction.time = prediction.wait + handover_time +
-                          (item.receives ? duration(0) : off_receiver_cost);
+        prediction.time = handover_cost(item);
     }
     auto const speed = prefill_tokens_per_ms(w, *item.instance);
     auto const shared = request.chain.empty() ? 0 : request.chain.back().tokens;
@@ -230,10 +221,8 @@
     {
         return false;
     }
-    auto const daemons = std::max(static_cast<double>(w.relay.daemons.size()),
-                                  fewest_counted_daemons);
     return static_cast<double>(instance.open_calls.size()) >=
-           std::ceil(requests_at_once / daemons);
+           std::ceil(requests_at_once / w.relay.sharing_daemons());
 }
 
 } // namespace
@@ -245,7 +234,7 @@
     rank_homes(request, candidates);
     std::ranges::for_each(candidates,
                           [&](candidate &item) { set_cost(w, request, item); });
-    auto const handover = least_handover_cost(w, request, candidates);
+    auto const handover = least_handover_cost(candidates);
     for (auto &item : candidates)
     {
         if (item.instance->definition.role == engine_role::prefill)
--- a/src/instance_table.cpp
+++ b/src/instance_table.cpp
@@ -1,10 +1,31 @@
 #include "instance_table.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace agateledge
 {
 
+namespace
+{
+
+/// Time in which the weight of an instance's past results halves.
+constexpr double health_half_life_s = 4;
+
+std::string const &id_of(instance_state const *instance)
+{
+    return instance->definition.id;
+}
+
+} // namespace
+
+call_results instance_health::results_at(instant now) const
+{
+    auto const kept =
+        std::exp2(-to_seconds(now - counted_at) / health_half_life_s);
+    return {results.succeeded * kept, results.failed * kept};
+}
+
 instance_state *instance_table::find(std::string const &id)
 {
     auto const found = states_.find(id);
@@ -39,8 +60,9 @@
     state.address_taken = false;
     if (added)
     {
-        auto &ids = by_service_[definition.service];
-        ids.insert(std::ranges::lower_bound(ids, definition.id), definition.id);
+        auto &others = by_service_[definition.service];
+        others.insert(
+            std::ranges::lower_bound(others, definition.id, {}, id_of), &state);
     }
     return state;
 }
@@ -52,25 +74,24 @@
     {
         return;
     }
-    leave_service(found->second.definition.service, id);
+    leave_service(found->second);
     states_.erase(found);
 }
 
-void instance_table::leave_service(std::string const &service,
-                                   std::string const &id)
+void instance_table::leave_service(instance_state const &state)
 {
-    auto &ids = by_service_[service];
-    std::erase(ids, id);
-    if (ids.empty())
+    auto const found = by_service_.find(state.definition.service);
+    std::erase(found->second, &state);
+    if (found->second.empty())
     {
-        by_service_.erase(service);
+        by_service_.erase(found);
     }
 }
 
-std::vector<std::string> const &
+std::vector<instance_state const *> const &
 instance_table::of_service(std::string const &name) const
 {
-    static std::vector<std::string> const none;
+    static std::vector<instance_state const *> const none;
     auto const found = by_service_.find(name);
     return found == by_service_.end() ? none : found->second;
 }
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -16,16 +16,35 @@
 namespace agateledge
 {
 
-/// How the calls of an instance ended lately; older ones count less.
-struct instance_health
+/// Ends of calls, weighted by age.
+struct call_results
 {
     double succeeded = 0;
     double failed = 0;
-    instant decayed_at{};
+
+    /// @return part of the calls that failed; 0 without calls
+    double failed_share() const
+    {
+        auto const total = failed + succeeded;
+        return total > 0 ? failed / total : 0;
+    }
+
+    auto operator<=>(call_results const &) const = default;
+};
+
+/// How the calls of an instance ended lately.
+struct instance_health
+{
+    /// Results as of `counted_at`.
+    call_results results;
+    instant counted_at{};
     /// No work is given before this time.
     instant avoided_until{};
     /// Length of the next pause; grows while the instance keeps failing.
     duration next_pause{};
+
+    /// @return the results with their weight at `now`
+    call_results results_at(instant now) const;
 };
 
 /// An engine or endpoint of the directory, with what this daemon has seen of
@@ -68,17 +87,19 @@
 
     void erase(std::string const &id);
 
-    /// @return ids of the instances of a service, in ascending order
-    std::vector<std::string> const &of_service(std::string const &name) const;
+    /// @return the instances of a service, by ascending id; valid until the
+    ///         next change
+    std::vector<instance_state const *> const &
+    of_service(std::string const &name) const;
 
     std::map<std::string, instance_state> const &all() const { return states_; }
     std::map<std::string, instance_state> &all() { return states_; }
 
 private:
-    void leave_service(std::string const &service, std::string const &id);
+    void leave_service(instance_state const &state);
 
     std::map<std::string, instance_state> states_;
-    std::map<std::string, std::vector<std::string>> by_service_;
+    std::map<std::string, std::vector<instance_state const *>> by_service_;
 };
 
 } // namespace agateledge
--- a/src/judge_instances.cpp
+++ b/src/judge_instances.cpp
@@ -4,7 +4,6 @@
 #include "world.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <string>
 
@@ -26,53 +25,36 @@
 constexpr duration first_pause = seconds(1);
 constexpr duration longest_pause = seconds(4);
 
-/// Time in which the weight of past results halves; as in the counting.
-constexpr double health_half_life_s = 4;
-
 struct service_health
 {
-    double succeeded = 0;
-    double failed = 0;
+    call_results results;
     int instances = 0;
     int avoided = 0;
 };
 
-double kept(world const &w, instance_health const &health)
-{
-    return std::exp2(-to_seconds(w.now - health.decayed_at) /
-                     health_half_life_s);
-}
-
 std::map<std::string, service_health> sum_by_service(world const &w)
 {
     std::map<std::string, service_health> out;
     for (auto const &[id, instance] : w.relay.instances.all())
     {
-        auto const &health = instance.health;
+        auto const results = instance.health.results_at(w.now);
         auto &sum = out[instance.definition.service];
-        sum.succeeded += health.succeeded * kept(w, health);
-        sum.failed += health.failed * kept(w, health);
+        sum.results.succeeded += results.succeeded;
+        sum.results.failed += results.failed;
         ++sum.instances;
-        sum.avoided += health.avoided_until > w.now ? 1 : 0;
+        sum.avoided += instance.health.avoided_until > w.now ? 1 : 0;
     }
     return out;
 }
 
-double share(double failed, double succeeded)
-{
-    auto const total = failed + succeeded;
-    return total > 0 ? failed / total : 0;
-}
-
 void judge(world &w, instance_state &instance, service_health &sum)
 {
     auto &health = instance.health;
-    auto const failed = health.failed * kept(w, health);
-    auto const succeeded = health.succeeded * kept(w, health);
-    bool const bad = failed >= least_failures &&
-                     share(failed, succeeded) >
-                         share(sum.failed - failed, sum.succeeded - succeeded) +
-                             excess_share;
+    auto const own = health.results_at(w.now);
+    call_results const others{sum.results.succeeded - own.succeeded,
+                              sum.results.failed - own.failed};
+    bool const bad = own.failed >= least_failures &&
+                     own.failed_share() > others.failed_share() + excess_share;
     bool const most_left = (sum.avoided + 1) * 2 <= sum.instances;
     if (!bad || health.avoided_until > w.now || !most_left)
     {
@@ -85,12 +67,11 @@
     log_relay(w, log_level::warning, "instance_avoided",
               {{"instance", instance.definition.id},
                {"service", instance.definition.service},
-               {"failed", std::to_string(failed)},
-               {"succeeded", std::to_string(succeeded)},
+               {"failed", std::to_string(own.failed)},
+               {"succeeded", std::to_string(own.succeeded)},
                {"pause_ms", milliseconds_text(health.next_pause)}});
     // Judged anew, by what its next calls show.
-    health.failed = 0;
-    health.succeeded = 0;
+    health.results = {};
 }
 
 } // namespace
--- a/src/place_relays.cpp
+++ b/src/place_relays.cpp
@@ -134,11 +134,10 @@
     {
         return duration(0);
     }
-    auto const daemons = std::max(static_cast<double>(w.relay.daemons.size()),
-                                  fewest_counted_daemons);
     auto const speed =
         prefill_tokens_per_ms(w, *w.relay.instances.find(choice.instance));
-    return from_seconds(found->second * daemons / speed / 1e3);
+    return from_seconds(found->second * w.relay.sharing_daemons() / speed /
+                        1e3);
 }
 
 /// Sends or refuses the request, or lets it wait.
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -73,10 +73,10 @@
 {
     auto const &definition = instance.definition;
     auto const found =
-        w.relay.speeds.find({definition.service, definition.role});
-    if (found != w.relay.speeds.end())
+        w.relay.prefill_speeds.find({definition.service, definition.role});
+    if (found != w.relay.prefill_speeds.end())
     {
-        return found->second.tokens_per_ms;
+        return found->second;
     }
     return definition.role == engine_role::decode
                ? initial_decode_tokens_per_ms
@@ -129,7 +129,7 @@
     auto const &definition = instance.definition;
     auto const known = prefill_tokens_per_ms(w, instance);
     auto const weight = speed > known ? faster_weight : slower_weight;
-    w.relay.speeds[{definition.service, definition.role}].tokens_per_ms =
+    w.relay.prefill_speeds[{definition.service, definition.role}] =
         known + weight * (speed - known);
 }
 
--- a/src/relay_lifecycle.cpp
+++ b/src/relay_lifecycle.cpp
@@ -4,7 +4,6 @@
 #include "world.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace agateledge
@@ -13,9 +12,6 @@
 namespace
 {
 
-/// Time in which the weight of an instance's past results halves.
-constexpr double health_half_life_s = 4;
-
 /// Calls that an instance may refuse before the request is given up, besides
 /// the calls that its route allows.
 constexpr int max_refused_calls = 3;
@@ -23,13 +19,12 @@
 void count_result(world &w, instance_state &instance, call_result result)
 {
     auto &health = instance.health;
-    auto const age = to_seconds(w.now - health.decayed_at);
-    auto const kept = std::exp2(-age / health_half_life_s);
-    health.succeeded *= kept;
-    health.failed *= kept;
-    health.decayed_at = w.now;
-    health.succeeded += result == call_result::succeeded ? 1 : 0;
-    health.failed += result == call_result::failed ? 1 : 0;
+    auto const past = health.results_at(w.now);
+    health.results.succeeded =
+        past.succeeded + (result == call_result::succeeded ? 1 : 0);
+    health.results.failed =
+        past.failed + (result == call_result::failed ? 1 : 0);
+    health.counted_at = w.now;
 }
 
 void answer(world &w, relay_answer answer)
@@ -180,10 +175,8 @@
     {
         return false;
     }
-    auto const daemons = static_cast<double>(relay.daemons.size());
     if (extra && !relay.budgets[request.service].spend(
-                     w.now, relay.limits.retries,
-                     std::max(daemons, fewest_counted_daemons)))
+                     w.now, relay.limits.retries, relay.sharing_daemons()))
     {
         ++relay.metrics.retries_denied;
         note_request(w, request, "retry_denied",
--- a/src/relay_state.hpp
+++ b/src/relay_state.hpp
@@ -12,6 +12,7 @@
 #include "shared_retry_budget.hpp"
 #include "time.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <map>
@@ -55,15 +56,8 @@
     instant restored_at{};
 };
 
-/// Learned speed of a service's engines in one role.
-struct prefill_speed
-{
-    /// Prompt tokens that an idle engine reads in a millisecond.
-    double tokens_per_ms = 0;
-};
-
-/// Daemons that are assumed to share the retry budget at least: rows of
-/// daemons that started moments ago may not have been read.
+/// Daemons that are assumed to be live at least: rows of daemons that started
+/// moments ago may not have been read.
 constexpr double fewest_counted_daemons = 4;
 
 /// Tables of the requests that are passed on unchanged.
@@ -90,12 +84,20 @@
     instant next_daemon_row{};
     /// Time from which the health of instances is compared again.
     instant next_judgement{};
-    /// By service and role.
-    std::map<std::pair<std::string, engine_role>, prefill_speed> speeds;
+    /// Prompt tokens that an idle engine reads in a millisecond, learned by
+    /// service and role.
+    std::map<std::pair<std::string, engine_role>, double> prefill_speeds;
     relay_metrics metrics;
     std::optional<instant> stopping_since;
     /// Last time at which a request was open, while stopping.
     instant last_open{};
+
+    /// @return daemons among which the bounds of the deployment are divided
+    double sharing_daemons() const
+    {
+        return std::max(static_cast<double>(daemons.size()),
+                        fewest_counted_daemons);
+    }
 };
 
 } // namespace agateledge
