Merge the two head hooks of a call, guard the relay's systems once, drop what nothing reads

Cause: reading the diff again. http_call_handlers had on_status beside the more general on_head; eight systems began with the same guard; the decoder filled fields that nothing reads (slots, link rate, bytes a token, connections, target gap, affinity, output tokens, header timeout), and five accessors had no caller. The name of the platform's variable stood in src/. Change: on_head alone; tick_relays lists the relay's systems and tick.cpp guards it; the unread fields and accessors are gone; the variable's name is in platform/, and the check for names outside it looks for it as well.

--- a/harness/relay_fixture.cpp
+++ b/harness/relay_fixture.cpp
@@ -38,7 +38,7 @@
     out.routes[0].resumable = true;
     service_profile models;
     models.name = "models";
-    models.engine = engine_profile{64, 460000, 18432, 370000};
+    models.kv_capacity_tokens = 460000;
     service_profile desk;
     desk.name = "desk";
     out.services = {models, desk};
@@ -181,7 +181,6 @@
         prompt_shape prompt;
         prompt.model = "m";
         prompt.prompt_tokens = shared_tokens + own_tokens;
-        prompt.max_output_tokens = 10;
         // The last part belongs to the request alone.
         prompt.parts = {{shared_part, shared_tokens},
                         {last_request_ << 32U, own_tokens}};
--- a/src/admit_relays.cpp
+++ b/src/admit_relays.cpp
@@ -128,10 +128,6 @@
 
 void admit_relays(world &w)
 {
-    if (!w.relay.enabled)
-    {
-        return;
-    }
     std::ranges::for_each(w.in.relay_arrivals,
                           [&w](relay_arrival const &arrival)
                           { admit(w, arrival); });
--- a/src/advance_relays.cpp
+++ b/src/advance_relays.cpp
@@ -375,10 +375,6 @@
 
 void advance_relays(world &w)
 {
-    if (!w.relay.enabled)
-    {
-        return;
-    }
     std::ranges::for_each(w.in.relay_events, [&w](relay_event const &event)
                           { take_event(w, event); });
     std::ranges::for_each(w.in.prefill_results,
--- a/src/bounded_appender.hpp
+++ b/src/bounded_appender.hpp
@@ -23,9 +23,6 @@
 
     void close() override { closed = true; }
 
-    /// @return lines that were dropped since the start
-    std::uint64_t dropped() const { return dropped_; }
-
 protected:
     void append(log4cplus::spi::InternalLoggingEvent const &event) override;
 
--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -81,7 +81,8 @@
     request.body =
         std::make_shared<std::string const>(engine_call_to_text(call));
     http_call_handlers handlers;
-    handlers.on_status = [this, item](int status) { on_status(*item, status); };
+    handlers.on_head = [this, item](int status, SoupMessageHeaders *)
+    { on_status(*item, status); };
     handlers.on_bytes = [this, item](std::string_view bytes)
     { on_bytes(*item, bytes); };
     handlers.on_end = [this, item](http_outcome outcome)
--- a/src/expire_relays.cpp
+++ b/src/expire_relays.cpp
@@ -31,10 +31,6 @@
 
 void expire_relays(world &w)
 {
-    if (!w.relay.enabled)
-    {
-        return;
-    }
     while (auto const due = w.relay.expiries.take(w.now))
     {
         expire(w, *due);
--- a/src/follow_directory.cpp
+++ b/src/follow_directory.cpp
@@ -259,10 +259,6 @@
 
 void follow_directory(world &w)
 {
-    if (!w.relay.enabled)
-    {
-        return;
-    }
     for (auto const &reply : w.in.row_read_replies)
     {
         if (reply.outcome == row_outcome::answered)
--- a/src/follow_store.cpp
+++ b/src/follow_store.cpp
@@ -180,10 +180,6 @@
 
 void follow_store(world &w)
 {
-    if (!w.relay.enabled)
-    {
-        return;
-    }
     std::ranges::for_each(w.in.row_read_replies,
                           [&w](row_read_reply const &reply)
                           { take_reply(w, reply); });
--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -220,16 +220,11 @@
         stream_.reset();
         return;
     }
-    auto const status =
-        static_cast<int>(soup_message_get_status(message_.get()));
-    if (handlers_.on_status)
-    {
-        handlers_.on_status(status);
-    }
     if (handlers_.on_head)
     {
-        handlers_.on_head(status,
-                          soup_message_get_response_headers(message_.get()));
+        handlers_.on_head(
+            static_cast<int>(soup_message_get_status(message_.get())),
+            soup_message_get_response_headers(message_.get()));
     }
     read_next();
 }
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -58,8 +58,6 @@
 /// Handlers of an outgoing HTTP call; none runs after `http_call::cancel`.
 struct http_call_handlers
 {
-    /// The reply's status; before its body.
-    std::function<void(int)> on_status;
     /// The reply's status and headers; before its body.
     std::function<void(int, SoupMessageHeaders *)> on_head;
     /// Part of the reply's body.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -131,7 +131,8 @@
     auto const parts = std::make_shared<collector>();
     parts->on_reply = std::move(on_reply);
     http_call_handlers handlers;
-    handlers.on_status = [parts](int status) { parts->reply.status = status; };
+    handlers.on_head = [parts](int status, SoupMessageHeaders *)
+    { parts->reply.status = status; };
     handlers.on_bytes = [parts](std::string_view bytes) { parts->add(bytes); };
     handlers.on_end = [parts](http_outcome outcome) { parts->end(outcome); };
     open(request, std::move(handlers));
--- a/src/judge_instances.cpp
+++ b/src/judge_instances.cpp
@@ -80,7 +80,7 @@
 {
     auto &relay = w.relay;
     bool const changed = !w.in.relay_events.empty();
-    if (!relay.enabled || !changed || relay.next_judgement > w.now)
+    if (!changed || relay.next_judgement > w.now)
     {
         return;
     }
--- a/src/load_client.cpp
+++ b/src/load_client.cpp
@@ -145,7 +145,8 @@
     message.headers.emplace_back("Authorization", "Bearer " + token_);
     message.headers.emplace_back("Agateledge-Class", request->kind.name);
     http_call_handlers handlers;
-    handlers.on_status = [request](int status) { request->status = status; };
+    handlers.on_head = [request](int status, SoupMessageHeaders *)
+    { request->status = status; };
     handlers.on_bytes = [this, request](std::string_view bytes)
     { receive(*request, bytes); };
     handlers.on_end = [this, request](http_outcome outcome)
--- a/src/place_relays.cpp
+++ b/src/place_relays.cpp
@@ -35,9 +35,7 @@
 std::int64_t cache_capacity(world const &w, std::string const &service)
 {
     auto const *profile = find_service(*w.relay.routing, service);
-    auto const capacity = profile != nullptr && profile->engine
-                              ? profile->engine->kv_capacity_tokens
-                              : 0;
+    auto const capacity = profile == nullptr ? 0 : profile->kv_capacity_tokens;
     return static_cast<std::int64_t>(static_cast<double>(capacity) *
                                      cached_share);
 }
@@ -175,10 +173,6 @@
 
 void place_relays(world &w)
 {
-    if (!w.relay.enabled)
-    {
-        return;
-    }
     auto due = std::exchange(w.relay.waiting, {});
     std::ranges::stable_sort(
         due, {},
--- a/src/relay_listener.hpp
+++ b/src/relay_listener.hpp
@@ -44,11 +44,6 @@
     /// Writes an answer, or the next part of one.
     void answer(relay_answer const &answer);
 
-    connection_gate &gate() { return gate_; }
-
-    /// @return exchanges whose answers have not been written whole
-    std::size_t open_exchanges() const { return exchanges_.size(); }
-
     /// Called when the reader of a stream stalls (true) or has drained (false).
     std::function<void(request_number, bool hold)> on_hold;
 
--- a/src/relay_messages.hpp
+++ b/src/relay_messages.hpp
@@ -35,7 +35,6 @@
 {
     std::string model;
     int prompt_tokens = 0;
-    int max_output_tokens = 0;
     /// Parts in order; the last one belongs to the request alone.
     std::vector<prompt_part> parts;
 
--- a/src/relay_process.hpp
+++ b/src/relay_process.hpp
@@ -52,19 +52,13 @@
     /// Begins a graceful shutdown; `on_stopped` runs at its end.
     void shut_down();
 
-    world &state() { return state_; }
-    relay_listener &callers() { return callers_; }
-
-    /// @return IP address and port of the readiness listener
-    std::string readiness_address() const { return readiness_.address(); }
-
-    /// @return true while the daemon asks for new connections
-    bool ready() const;
-
     /// Called once the shutdown has finished.
     std::function<void()> on_stopped;
 
 private:
+    /// @return true while the daemon asks for new connections
+    bool ready() const;
+
     void install_handlers();
     void apply(relay_settings const &config);
     void check_stopped();
--- a/src/relay_state.hpp
+++ b/src/relay_state.hpp
@@ -63,8 +63,8 @@
 /// Tables of the requests that are passed on unchanged.
 struct relay_state
 {
-    /// False in a daemon that serves only the product's own interface; the
-    /// relay passes then do nothing.
+    /// False in a daemon that serves only the product's own interface;
+    /// `tick_relays` does not run then.
     bool enabled = false;
     relay_limits limits;
     std::shared_ptr<routing_configuration const> routing =
--- a/src/route_definition.hpp
+++ b/src/route_definition.hpp
@@ -43,8 +43,6 @@
     duration timeout = seconds(5);
     /// Time within which an answer, or its first event, is on time.
     duration target_latency = seconds(1);
-    /// Longest pause between two events of a stream that is on time.
-    duration target_gap = seconds(1);
     /// Rank of the route; 0 is the most urgent.
     int priority = 0;
     std::vector<weighted_service> services;
@@ -52,8 +50,6 @@
     int max_attempts = 1;
     /// A stream may go on at another instance after its last event.
     bool resumable = false;
-    /// Requests carry a prompt whose leading parts are shared.
-    bool shares_prompts = false;
 
     /// @return true when a request may run more than once
     bool repeatable() const
--- a/src/routing_configuration.hpp
+++ b/src/routing_configuration.hpp
@@ -6,7 +6,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,28 +13,13 @@
 namespace agateledge
 {
 
-/// Model engines of a service; the figures of each one.
-struct engine_profile
-{
-    /// Requests that one engine runs at the same time.
-    int slots = 1;
-    /// Tokens that fit into the KV cache.
-    std::int64_t kv_capacity_tokens = 0;
-    std::int64_t kv_bytes_per_token = 0;
-    /// Rate of the engine's link, in megabits a second.
-    double link_mbps = 0;
-
-    auto operator<=>(engine_profile const &) const = default;
-};
-
 /// Group of instances that serve the same requests.
 struct service_profile
 {
     std::string name;
-    /// Connections that one instance accepts from all daemons together.
-    int max_connections = 100;
-    /// Set for a service of model engines.
-    std::optional<engine_profile> engine;
+    /// Tokens that fit into the KV cache of one engine; 0 for a service
+    /// without model engines.
+    std::int64_t kv_capacity_tokens = 0;
 
     auto operator<=>(service_profile const &) const = default;
 };
@@ -45,8 +29,6 @@
 {
     std::int64_t max_header_bytes = std::int64_t{16} * 1024;
     std::int64_t max_body_bytes = std::int64_t{4} * 1024 * 1024;
-    /// Time in which the header of a request must arrive.
-    duration header_timeout = seconds(3);
     /// Time for which a kept connection may stay idle.
     duration idle_timeout = seconds(15);
 
--- a/src/run_relay.cpp
+++ b/src/run_relay.cpp
@@ -6,6 +6,7 @@
 #include "raise_descriptor_limit.hpp"
 #include "relay_process.hpp"
 #include "run_main_loop.hpp"
+#include "settings_variable.hpp"
 
 #include <cstdlib>
 #include <iostream>
@@ -16,12 +17,9 @@
 namespace
 {
 
-/// Environment variable that names the settings file.
-constexpr char const *settings_variable = "AGATELEDGE_BOOT";
-
 std::string default_settings_file()
 {
-    auto const *file = std::getenv(settings_variable);
+    auto const *file = std::getenv(platform::settings_variable);
     return file == nullptr ? std::string() : std::string(file);
 }
 
--- a/src/stop_relays.cpp
+++ b/src/stop_relays.cpp
@@ -42,10 +42,6 @@
 void stop_relays(world &w)
 {
     auto &relay = w.relay;
-    if (!relay.enabled)
-    {
-        return;
-    }
     if (w.in.shutdown && !relay.stopping_since)
     {
         relay.stopping_since = w.now;
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -1,32 +1,25 @@
 #include "tick.hpp"
 
-#include "admit_relays.hpp"
-#include "advance_relays.hpp"
 #include "answer_operators.hpp"
 #include "apply_configuration.hpp"
 #include "break_circuits.hpp"
 #include "check_invariants.hpp"
 #include "claim_calls.hpp"
 #include "dispatch_requests.hpp"
-#include "expire_relays.hpp"
 #include "follow_changes.hpp"
-#include "follow_directory.hpp"
-#include "follow_store.hpp"
 #include "forward_answers.hpp"
 #include "hedge_calls.hpp"
 #include "internal_assert.hpp"
 #include "issue_orders.hpp"
-#include "judge_instances.hpp"
 #include "learn_costs.hpp"
 #include "limit_callers.hpp"
-#include "place_relays.hpp"
 #include "plan_role_changes.hpp"
 #include "propose_configuration.hpp"
 #include "receive_requests.hpp"
 #include "renew_leases.hpp"
 #include "retry_requests.hpp"
 #include "stop_daemon.hpp"
-#include "stop_relays.hpp"
+#include "tick_relays.hpp"
 #include "track_engines.hpp"
 #include "track_peers.hpp"
 #include "world.hpp"
@@ -59,14 +52,10 @@
     retry_requests(w);
     hedge_calls(w);
     dispatch_requests(w);
-    follow_store(w);
-    follow_directory(w);
-    advance_relays(w);
-    judge_instances(w);
-    admit_relays(w);
-    expire_relays(w);
-    place_relays(w);
-    stop_relays(w);
+    if (w.relay.enabled)
+    {
+        tick_relays(w);
+    }
     answer_operators(w);
     check_invariants(w);
     w.in = {};
--- a/test/error/operations_page_test.cpp
+++ b/test/error/operations_page_test.cpp
@@ -51,7 +51,7 @@
 TEST(operations_page, names_of_the_platform_stay_in_their_folder)
 {
     std::regex const name(
-        R"re(("(?:Attempt-Id|Deadline-Ms|Prompt-Prefix|Token-Count|Target-Instance|Server-Signature|Not-Executed|Kv-Source|Request-Priority|/v1/rows-[a-z]+|/v1/kv-handle[^"]*|kv_handle|route_type|traffic_split)[^"]*"))re");
+        R"re(("(?:AGATELEDGE_BOOT|Attempt-Id|Deadline-Ms|Prompt-Prefix|Token-Count|Target-Instance|Server-Signature|Not-Executed|Kv-Source|Request-Priority|/v1/rows-[a-z]+|/v1/kv-handle[^"]*|kv_handle|route_type|traffic_split)[^"]*"))re");
     for (auto const &entry : std::filesystem::directory_iterator(root / "src"))
     {
         auto const found = matches(text_of(entry.path()), name);
