Let both listeners share one exchange server, and both processes one shutdown wait

Cause: caller_listener and relay_listener kept the same tables of open messages, signal handlers and body bounds, about 40 lines twice; so did the two processes with the timer of their shutdown. Change: exchange_server keeps an exchange for each message and tells the listener of its progress; server_message has the functions on one libsoup message; shutdown_wait has the timer. No behaviour is meant to change.

--- a/src/caller_listener.hpp
+++ b/src/caller_listener.hpp
@@ -2,18 +2,15 @@
 #define AGATELEDGE_CALLER_LISTENER_HPP
 
 #include "caller_directory.hpp"
-#include "connection_gate.hpp"
-#include "gobject_ptr.hpp"
+#include "caller_exchange.hpp"
+#include "exchange_server.hpp"
 #include "ids.hpp"
 #include "settings.hpp"
 
 #include "absl/status/status.h"
 
-#include <libsoup/soup.h>
-
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -23,7 +20,6 @@
 namespace agateledge
 {
 
-class caller_exchange;
 class daemon_loop;
 class signing_keys;
 enum class completion_kind;
@@ -42,7 +38,6 @@
     /// @param limits bounds on what callers may send
     caller_listener(world const &state, daemon_loop &loop,
                     signing_keys const &keys, listener_limits limits);
-    ~caller_listener();
     caller_listener(caller_listener const &) = delete;
     caller_listener &operator=(caller_listener const &) = delete;
 
@@ -56,7 +51,7 @@
     /// caller together.
     void flush();
 
-    connection_gate &gate() { return gate_; }
+    connection_gate &gate() { return server_.gate(); }
 
     /// @return true while the reader of that engine stream has stalled
     bool is_held(std::string const &stream_key) const;
@@ -69,12 +64,9 @@
     std::function<void(std::string const &stream_key, bool hold)> on_hold;
 
 private:
-    struct callbacks;
-
-    void begin(SoupServerMessage *message);
     void check_headers(caller_exchange &exchange);
     void count_body(caller_exchange &exchange, std::int64_t bytes);
-    void route(SoupServerMessage *message, std::string const &path);
+    void route(caller_exchange &exchange, std::string_view path);
     void route_path(caller_exchange &exchange, std::string_view path);
     void take_completion(caller_exchange &exchange, completion_kind kind);
     void take_service(caller_exchange &exchange, std::string_view rest);
@@ -86,23 +78,17 @@
     void set_held(caller_exchange &exchange, bool held);
     void update_hold(caller_exchange &exchange);
     void flush(caller_exchange &exchange);
-    void end(SoupServerMessage *message);
+    void end(caller_exchange &exchange);
     void depart(caller_exchange &exchange);
-    void peer_closed(connection_gate::connection_key key);
-    caller_exchange *find(SoupServerMessage *message);
+    void peer_closed(caller_exchange &exchange);
 
     world const &state_;
     daemon_loop &loop_;
     signing_keys const &keys_;
     listener_limits limits_;
     caller_directory directory_;
-    gobject_ptr<SoupServer> server_;
-    connection_gate gate_;
-    std::unordered_map<SoupServerMessage *, std::unique_ptr<caller_exchange>>
-        exchanges_;
+    exchange_server<caller_exchange> server_;
     std::unordered_map<request_number, caller_exchange *> by_request_;
-    std::unordered_map<connection_gate::connection_key, SoupServerMessage *>
-        by_connection_;
     /// Requests with replies that have not been written.
     std::vector<request_number> replied_;
     std::unordered_set<std::string> held_keys_;
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -14,8 +14,6 @@
 namespace
 {
 
-constexpr guint stop_check_interval_ms = 20;
-
 daemon_identity identity_of(settings const &config,
                             incarnation_number incarnation)
 {
@@ -41,13 +39,7 @@
     install_peer_handlers();
 }
 
-daemon_process::~daemon_process()
-{
-    if (stop_timer_ != 0)
-    {
-        g_source_remove(stop_timer_);
-    }
-}
+daemon_process::~daemon_process() = default;
 
 void daemon_process::install_handlers()
 {
@@ -154,27 +146,20 @@
 
 void daemon_process::shut_down()
 {
-    if (stop_timer_ != 0)
+    if (shutdown_.begun())
     {
         return;
     }
     loop_.input().shutdown = true;
-    stop_timer_ = g_timeout_add(
-        stop_check_interval_ms,
-        [](gpointer self) -> gboolean
-        {
-            static_cast<daemon_process *>(self)->check_stopped();
-            return G_SOURCE_CONTINUE;
-        },
-        this);
-}
-
-void daemon_process::check_stopped()
-{
-    if (stop_ready_ && callers_.open_exchanges() == 0 && on_stopped)
-    {
-        std::exchange(on_stopped, {})();
-    }
+    shutdown_.begin([this]
+                    { return stop_ready_ && callers_.open_exchanges() == 0; },
+                    [this]
+                    {
+                        if (on_stopped)
+                        {
+                            on_stopped();
+                        }
+                    });
 }
 
 } // namespace agateledge
--- a/src/daemon_process.hpp
+++ b/src/daemon_process.hpp
@@ -13,6 +13,7 @@
 #include "peer_listener.hpp"
 #include "service_client.hpp"
 #include "settings.hpp"
+#include "shutdown_wait.hpp"
 #include "signing_keys.hpp"
 #include "table_client.hpp"
 #include "world.hpp"
@@ -74,7 +75,6 @@
     absl::Status load_keys();
     absl::Status start_peers();
     void install_peer_handlers();
-    void check_stopped();
 
     settings config_;
     world state_;
@@ -91,7 +91,7 @@
     peer_client peer_client_;
     membership_client membership_;
     operator_listener operators_;
-    unsigned stop_timer_ = 0;
+    shutdown_wait shutdown_;
     /// True once the tick has reported the end of the shutdown.
     bool stop_ready_ = false;
 };
--- a/src/relay_listener.cpp
+++ b/src/relay_listener.cpp
@@ -2,6 +2,7 @@
 
 #include "completion_writer.hpp"
 #include "daemon_loop.hpp"
+#include "exchange_server.hpp"
 #include "relay_codec.hpp"
 #include "soup_headers.hpp"
 #include "world.hpp"
@@ -17,199 +18,81 @@
 
 constexpr char const *json_type = "application/json";
 
-/// Time in which a caller must have read some of the bytes that wait for it.
-constexpr duration reader_timeout = seconds(30);
-
-/// A body beyond the limit is read and dropped up to this multiple of the
-/// limit, so that the caller reads the error; then the connection is cut.
-constexpr std::int64_t dropped_body_factor = 4;
-
-std::string target_of(SoupServerMessage *message)
-{
-    auto *uri = soup_server_message_get_uri(message);
-    std::string target = g_uri_get_path(uri);
-    if (auto const *query = g_uri_get_query(uri))
-    {
-        target += '?';
-        target += query;
-    }
-    return target;
-}
-
-shared_text body_of(SoupServerMessage *message)
-{
-    GBytes *bytes = soup_message_body_flatten(
-        soup_server_message_get_request_body(message));
-    gsize size = 0;
-    auto const *data = g_bytes_get_data(bytes, &size);
-    auto text = std::make_shared<std::string const>(
-        static_cast<char const *>(data), size);
-    g_bytes_unref(bytes);
-    return text;
-}
+} // namespace
 
-std::int64_t bytes_of(header_list const &headers)
+/// One exchange with a caller.
+class relay_listener::exchange
 {
-    std::int64_t total = 0;
-    for (auto const &[name, value] : headers)
+public:
+    explicit exchange(SoupServerMessage *message)
+        : message_(gobject_share(message))
     {
-        total += static_cast<std::int64_t>(name.size() + value.size());
     }
-    return total;
-}
 
-void close_after_answer(SoupServerMessage *message)
-{
-    soup_message_headers_replace(
-        soup_server_message_get_response_headers(message), "Connection",
-        "close");
-}
+    SoupServerMessage *message() const { return message_.get(); }
 
-} // namespace
+    /// @return true once the whole answer was given to the connection
+    bool answered() const { return done; }
 
-/// One exchange with a caller.
-struct relay_listener::exchange
-{
-    gobject_ptr<SoupServerMessage> message;
     /// 0 before the request is given to the systems.
     request_number request;
     std::int64_t body_bytes = 0;
     std::int64_t buffered_bytes = 0;
     instant headers_at{};
-    bool answered = false;
+    bool done = false;
     bool paused = false;
     bool streaming = false;
     bool held = false;
 
-    connection_gate::connection_key connection() const
-    {
-        return soup_server_message_get_remote_address(message.get());
-    }
-
     void unpause()
     {
         if (std::exchange(paused, false))
         {
-            soup_server_message_unpause(message.get());
+            soup_server_message_unpause(message());
         }
     }
-};
 
-struct relay_listener::callbacks
-{
-    static void started(SoupServer *, SoupServerMessage *message, gpointer self)
-    {
-        static_cast<relay_listener *>(self)->begin(message);
-    }
-
-    static void got_headers(SoupServerMessage *message, gpointer self)
-    {
-        auto *listener = static_cast<relay_listener *>(self);
-        if (auto *item = listener->find(message))
-        {
-            listener->check_headers(*item);
-        }
-    }
-
-    static void got_chunk(SoupServerMessage *message, GBytes *chunk,
-                          gpointer self)
-    {
-        auto *listener = static_cast<relay_listener *>(self);
-        if (auto *item = listener->find(message))
-        {
-            listener->count_body(
-                *item, static_cast<std::int64_t>(g_bytes_get_size(chunk)));
-        }
-    }
-
-    static void wrote(SoupServerMessage *message, guint bytes, gpointer self)
-    {
-        auto *listener = static_cast<relay_listener *>(self);
-        if (auto *item = listener->find(message))
-        {
-            listener->wrote(*item, bytes);
-        }
-    }
-
-    static void finished(SoupServerMessage *message, gpointer self)
-    {
-        static_cast<relay_listener *>(self)->end(message);
-    }
-
-    static void handle(SoupServer *, SoupServerMessage *message, char const *,
-                       GHashTable *, gpointer self)
-    {
-        auto *listener = static_cast<relay_listener *>(self);
-        if (auto *item = listener->find(message))
-        {
-            listener->take(*item);
-        }
-    }
+private:
+    gobject_ptr<SoupServerMessage> message_;
 };
 
 relay_listener::relay_listener(world const &state, daemon_loop &loop,
                                relay_codec const &codec, listener_limits limits)
     : state_(state), loop_(loop), codec_(codec), limits_(limits),
-      server_(soup_server_new("raw-paths", TRUE, nullptr)),
-      gate_(server_.get(), limits)
+      server_(std::make_unique<exchange_server<exchange>>(nullptr, limits))
 {
-    g_signal_connect(server_.get(), "request-started",
-                     G_CALLBACK(callbacks::started), this);
-    soup_server_add_handler(server_.get(), nullptr, callbacks::handle, this,
-                            nullptr);
-    gate_.on_peer_closed = [this](connection_gate::connection_key key)
-    { peer_closed(key); };
+    auto &handlers = server_->handlers;
+    handlers.on_headers = [this](exchange &item) { check_headers(item); };
+    handlers.on_body = [this](exchange &item, std::int64_t bytes)
+    { count_body(item, bytes); };
+    handlers.on_request = [this](exchange &item, char const *path)
+    { take(item, path); };
+    handlers.on_written = [this](exchange &item, std::int64_t bytes)
+    { wrote(item, bytes); };
+    handlers.on_peer_closed = [this](exchange &item) { peer_closed(item); };
+    handlers.on_end = [this](exchange &item) { end(item); };
 }
 
-relay_listener::~relay_listener()
-{
-    for (auto const &[message, item] : exchanges_)
-    {
-        g_signal_handlers_disconnect_by_data(message, this);
-    }
-    g_signal_handlers_disconnect_by_data(server_.get(), this);
-    soup_server_disconnect(server_.get());
-}
+relay_listener::~relay_listener() = default;
 
 absl::Status relay_listener::start(std::string const &address)
 {
-    return gate_.start(address, {});
+    return gate().start(address, {});
 }
 
-relay_listener::exchange *relay_listener::find(SoupServerMessage *message)
+connection_gate &relay_listener::gate()
 {
-    auto const found = exchanges_.find(message);
-    return found == exchanges_.end() ? nullptr : found->second.get();
-}
-
-void relay_listener::begin(SoupServerMessage *message)
-{
-    auto item = std::make_unique<exchange>();
-    item->message = gobject_share(message);
-    by_connection_.insert_or_assign(item->connection(), message);
-    exchanges_.emplace(message, std::move(item));
-    g_signal_connect(message, "got-headers", G_CALLBACK(callbacks::got_headers),
-                     this);
-    g_signal_connect(message, "got-chunk", G_CALLBACK(callbacks::got_chunk),
-                     this);
-    g_signal_connect(message, "wrote-body-data", G_CALLBACK(callbacks::wrote),
-                     this);
-    g_signal_connect(message, "finished", G_CALLBACK(callbacks::finished),
-                     this);
-    // A message whose connection closes before its request has begun does not
-    // finish.
-    g_signal_connect(message, "disconnected", G_CALLBACK(callbacks::finished),
-                     this);
+    return server_->gate();
 }
 
 void relay_listener::check_headers(exchange &item)
 {
-    auto *message = item.message.get();
+    auto *message = item.message();
     auto const &bounds = state_.relay.routing->bounds;
-    gate_.expect_within(item.connection(), limits_.request_timeout);
+    gate().expect_within(server_->connection_of(item), limits_.request_timeout);
     item.headers_at = daemon_loop::clock_now();
     auto *headers = soup_server_message_get_request_headers(message);
-    if (bytes_of(headers_from(headers)) > bounds.max_header_bytes)
+    if (request_header_bytes(message) > bounds.max_header_bytes)
     {
         refuse(item, result_code::headers_too_large,
                "the headers are too large");
@@ -219,41 +102,31 @@
     {
         refuse(item, result_code::body_too_large, "the body is too large");
     }
-    if (item.answered)
+    if (item.answered())
     {
-        soup_message_body_set_accumulate(
-            soup_server_message_get_request_body(message), FALSE);
+        drop_request_body(message);
         close_after_answer(message);
     }
 }
 
 void relay_listener::count_body(exchange &item, std::int64_t bytes)
 {
-    auto *message = item.message.get();
-    auto const most = state_.relay.routing->bounds.max_body_bytes;
-    item.body_bytes += bytes;
-    if (item.body_bytes > most && !item.answered)
-    {
-        soup_message_body_set_accumulate(
-            soup_server_message_get_request_body(message), FALSE);
-        refuse(item, result_code::body_too_large, "the body is too large");
-        close_after_answer(message);
-    }
-    if (item.body_bytes > most * dropped_body_factor)
-    {
-        gate_.cut(item.connection());
-    }
+    server_->count_body(
+        item, bytes, state_.relay.routing->bounds.max_body_bytes,
+        [this, &item] {
+            refuse(item, result_code::body_too_large, "the body is too large");
+        });
 }
 
-void relay_listener::take(exchange &item)
+void relay_listener::take(exchange &item, std::string const &path)
 {
-    if (item.answered)
+    if (item.answered())
     {
         return;
     }
-    auto *message = item.message.get();
-    gate_.expect_nothing(item.connection());
-    if (gate_.peer_closed(item.connection()))
+    auto *message = item.message();
+    gate().expect_nothing(server_->connection_of(item));
+    if (gate().peer_closed(server_->connection_of(item)))
     {
         refuse(item, result_code::invalid_request,
                "the caller has closed its side");
@@ -262,10 +135,10 @@
     }
     received_request received;
     received.method = soup_server_message_get_method(message);
-    received.target = target_of(message);
+    received.target = path + request_query(message);
     received.headers =
         headers_from(soup_server_message_get_request_headers(message));
-    received.body = body_of(message);
+    received.body = std::make_shared<std::string const>(request_body(message));
     auto request = codec_.decode_request(received);
     if (!request.ok())
     {
@@ -308,12 +181,12 @@
                                 header_list const &headers,
                                 std::string const &body)
 {
-    if (item.answered)
+    if (item.answered())
     {
         return;
     }
-    item.answered = true;
-    auto *message = item.message.get();
+    item.done = true;
+    auto *message = item.message();
     soup_server_message_set_status(message, static_cast<guint>(answer.status),
                                    nullptr);
     if (!body.empty())
@@ -326,13 +199,13 @@
     {
         close_after_answer(message);
     }
-    gate_.expect_within(item.connection(), reader_timeout);
+    gate().expect_within(server_->connection_of(item), reader_timeout);
     item.unpause();
 }
 
 void relay_listener::begin_stream(exchange &item, relay_answer const &answer)
 {
-    auto *message = item.message.get();
+    auto *message = item.message();
     item.streaming = true;
     soup_server_message_set_status(message, static_cast<guint>(answer.status),
                                    nullptr);
@@ -351,9 +224,9 @@
 {
     item.buffered_bytes += static_cast<std::int64_t>(bytes.size());
     soup_message_body_append(
-        soup_server_message_get_response_body(item.message.get()),
-        SOUP_MEMORY_COPY, bytes.data(), bytes.size());
-    soup_server_message_unpause(item.message.get());
+        soup_server_message_get_response_body(item.message()), SOUP_MEMORY_COPY,
+        bytes.data(), bytes.size());
+    soup_server_message_unpause(item.message());
     item.paused = false;
     update_hold(item);
 }
@@ -380,10 +253,10 @@
         return;
     case relay_answer_kind::end:
         by_request_.erase(found);
-        item.answered = true;
+        item.done = true;
         soup_message_body_complete(
-            soup_server_message_get_response_body(item.message.get()));
-        soup_server_message_unpause(item.message.get());
+            soup_server_message_get_response_body(item.message()));
+        soup_server_message_unpause(item.message());
         return;
     case relay_answer_kind::cut:
         by_request_.erase(found);
@@ -410,11 +283,11 @@
     }
     if (item.buffered_bytes <= 0)
     {
-        gate_.expect_nothing(item.connection());
+        gate().expect_nothing(server_->connection_of(item));
     }
     else
     {
-        gate_.expect_within(item.connection(), reader_timeout);
+        gate().expect_within(server_->connection_of(item), reader_timeout);
     }
     bool const hold = item.buffered_bytes > limits_.max_buffered_bytes ||
                       (item.held && item.buffered_bytes > 0);
@@ -426,21 +299,19 @@
 
 void relay_listener::cut(exchange &item)
 {
-    item.answered = true;
-    gate_.cut(item.connection());
-    soup_server_message_unpause(item.message.get());
+    item.done = true;
+    gate().cut(server_->connection_of(item));
+    soup_server_message_unpause(item.message());
 }
 
-void relay_listener::peer_closed(connection_gate::connection_key key)
+void relay_listener::peer_closed(exchange &item)
 {
-    auto const found = by_connection_.find(key);
-    auto *item = found == by_connection_.end() ? nullptr : find(found->second);
-    if (item == nullptr || item->answered || item->request.value() == 0)
+    if (item.answered() || item.request.value() == 0)
     {
         return;
     }
-    depart(*item);
-    cut(*item);
+    depart(item);
+    cut(item);
 }
 
 void relay_listener::depart(exchange &item)
@@ -451,24 +322,11 @@
     }
 }
 
-void relay_listener::end(SoupServerMessage *message)
+void relay_listener::end(exchange &item)
 {
-    auto const found = exchanges_.find(message);
-    if (found == exchanges_.end())
-    {
-        return;
-    }
-    auto &item = *found->second;
     depart(item);
-    auto *key = item.connection();
-    gate_.expect_within(key, state_.relay.routing->bounds.idle_timeout);
-    auto const connection = by_connection_.find(key);
-    if (connection != by_connection_.end() && connection->second == message)
-    {
-        by_connection_.erase(connection);
-    }
-    g_signal_handlers_disconnect_by_data(message, this);
-    exchanges_.erase(found);
+    gate().expect_within(server_->connection_of(item),
+                         state_.relay.routing->bounds.idle_timeout);
 }
 
 } // namespace agateledge
--- a/src/relay_listener.hpp
+++ b/src/relay_listener.hpp
@@ -1,15 +1,12 @@
 #ifndef AGATELEDGE_RELAY_LISTENER_HPP
 #define AGATELEDGE_RELAY_LISTENER_HPP
 
-#include "connection_gate.hpp"
-#include "gobject_ptr.hpp"
 #include "ids.hpp"
 #include "relay_messages.hpp"
+#include "settings.hpp"
 
 #include "absl/status/status.h"
 
-#include <libsoup/soup.h>
-
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,7 +16,10 @@
 namespace agateledge
 {
 
+class connection_gate;
 class daemon_loop;
+template <class Exchange>
+class exchange_server;
 struct relay_codec;
 struct world;
 
@@ -48,14 +48,12 @@
     std::function<void(request_number, bool hold)> on_hold;
 
 private:
-    struct callbacks;
-    struct exchange;
+    class exchange;
 
-    exchange *find(SoupServerMessage *message);
-    void begin(SoupServerMessage *message);
+    connection_gate &gate();
     void check_headers(exchange &item);
     void count_body(exchange &item, std::int64_t bytes);
-    void take(exchange &item);
+    void take(exchange &item, std::string const &path);
     void refuse(exchange &item, relay_answer const &answer);
     void refuse(exchange &item, result_code code, std::string const &message);
     void send_whole(exchange &item, relay_answer const &answer,
@@ -66,20 +64,15 @@
     void update_hold(exchange &item);
     void cut(exchange &item);
     void depart(exchange &item);
-    void end(SoupServerMessage *message);
-    void peer_closed(connection_gate::connection_key key);
+    void end(exchange &item);
+    void peer_closed(exchange &item);
 
     world const &state_;
     daemon_loop &loop_;
     relay_codec const &codec_;
     listener_limits limits_;
-    gobject_ptr<SoupServer> server_;
-    connection_gate gate_;
-    std::unordered_map<SoupServerMessage *, std::unique_ptr<exchange>>
-        exchanges_;
+    std::unique_ptr<exchange_server<exchange>> server_;
     std::unordered_map<request_number, exchange *> by_request_;
-    std::unordered_map<connection_gate::connection_key, SoupServerMessage *>
-        by_connection_;
     std::uint64_t last_request_ = 0;
 };
 
--- a/src/relay_process.cpp
+++ b/src/relay_process.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-constexpr guint stop_check_interval_ms = 20;
-
 /// Interval at which the settings file is compared: it may change without a
 /// signal.
 constexpr guint file_check_interval_ms = 2000;
@@ -69,10 +67,6 @@
 
 relay_process::~relay_process()
 {
-    if (stop_timer_ != 0)
-    {
-        g_source_remove(stop_timer_);
-    }
     if (file_timer_ != 0)
     {
         g_source_remove(file_timer_);
@@ -196,28 +190,20 @@
 
 void relay_process::shut_down()
 {
-    if (stop_timer_ != 0)
+    if (shutdown_.begun())
     {
         return;
     }
     loop_.input().shutdown = true;
-    stop_timer_ = g_timeout_add(
-        stop_check_interval_ms,
-        [](gpointer self) -> gboolean
-        {
-            static_cast<relay_process *>(self)->check_stopped();
-            return G_SOURCE_CONTINUE;
-        },
-        this);
-}
-
-void relay_process::check_stopped()
-{
-    if (stop_ready_ && on_stopped)
-    {
-        log(log_level::info, "stopped", {});
-        std::exchange(on_stopped, {})();
-    }
+    shutdown_.begin([this] { return stop_ready_; },
+                    [this]
+                    {
+                        log(log_level::info, "stopped", {});
+                        if (on_stopped)
+                        {
+                            on_stopped();
+                        }
+                    });
 }
 
 void relay_process::log(log_level level, std::string event,
--- a/src/relay_process.hpp
+++ b/src/relay_process.hpp
@@ -10,6 +10,7 @@
 #include "relay_listener.hpp"
 #include "relay_settings.hpp"
 #include "row_client.hpp"
+#include "shutdown_wait.hpp"
 #include "world.hpp"
 
 #include "absl/status/status.h"
@@ -61,7 +62,6 @@
 
     void install_handlers();
     void apply(relay_settings const &config);
-    void check_stopped();
     void check_file();
     std::optional<std::string> read_settings_file_text() const;
     void log(log_level level, std::string event,
@@ -80,7 +80,7 @@
     row_client rows_;
     http_server readiness_;
     http_server metrics_;
-    unsigned stop_timer_ = 0;
+    shutdown_wait shutdown_;
     unsigned file_timer_ = 0;
     bool stop_ready_ = false;
 };
--- /dev/null
+++ b/src/server_message.cpp
@@ -0,0 +1,52 @@
+#include "server_message.hpp"
+
+#include <string_view>
+
+namespace agateledge
+{
+
+std::int64_t request_header_bytes(SoupServerMessage *message)
+{
+    std::int64_t total = 0;
+    soup_message_headers_foreach(
+        soup_server_message_get_request_headers(message),
+        [](char const *name, char const *value, gpointer sum)
+        {
+            *static_cast<std::int64_t *>(sum) += static_cast<std::int64_t>(
+                std::string_view(name).size() + std::string_view(value).size());
+        },
+        &total);
+    return total;
+}
+
+std::string request_query(SoupServerMessage *message)
+{
+    auto const *query = g_uri_get_query(soup_server_message_get_uri(message));
+    return query == nullptr ? std::string() : "?" + std::string(query);
+}
+
+std::string request_body(SoupServerMessage *message)
+{
+    GBytes *bytes = soup_message_body_flatten(
+        soup_server_message_get_request_body(message));
+    gsize size = 0;
+    auto const *data = g_bytes_get_data(bytes, &size);
+    std::string text(static_cast<char const *>(data), size);
+    g_bytes_unref(bytes);
+    return text;
+}
+
+void drop_request_body(SoupServerMessage *message)
+{
+    soup_message_body_set_accumulate(
+        soup_server_message_get_request_body(message), FALSE);
+}
+
+void close_after_answer(SoupServerMessage *message)
+{
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(message), "Connection",
+        "close");
+}
+
+} // namespace agateledge
