Follow the engines' prefix caches and copy shared parts between engines

A home was taken to hold its parts before any engine had read them, so that first reads of 20,000 tokens went to engines that read at half the speed and others queued behind them; evicted parts and those that other daemons had read elsewhere were read again unnoticed. Change: follow_caches reads the changes of each engine's prefix cache; a call names the engine that used the shared parts last, from which they are copied; placement counts what an engine holds, copies or reads. Long prompts wait from 8 requests at an engine on, and the wait here is that of the whole fleet. Tests: relay_cache (fails without the feature by construction), platform_codec.cache_changes_are_read_by_what_the_engine_keeps.

--- a/harness/relay_fixture.cpp
+++ b/harness/relay_fixture.cpp
@@ -39,6 +39,8 @@
     service_profile models;
     models.name = "models";
     models.kv_capacity_tokens = 460000;
+    models.kv_bytes_per_token = 18432;
+    models.kv_bytes_per_ms = 46e6;
     service_profile desk;
     desk.name = "desk";
     out.services = {models, desk};
@@ -53,6 +55,7 @@
     std::ranges::move(part.relay_cancels,
                       std::back_inserter(all.relay_cancels));
     std::ranges::move(part.kv_releases, std::back_inserter(all.kv_releases));
+    std::ranges::move(part.cache_reads, std::back_inserter(all.cache_reads));
     std::ranges::move(part.row_reads, std::back_inserter(all.row_reads));
     std::ranges::move(part.log_entries, std::back_inserter(all.log_entries));
     all.stop_ready |= part.stop_ready;
--- a/src/advance_relays.cpp
+++ b/src/advance_relays.cpp
@@ -177,6 +177,10 @@
         return;
     }
     instance->unread_tokens -= attempt.unread_tokens;
+    if (auto const *request = w.relay.requests.find(attempt.request))
+    {
+        instance->cache.confirm(request->chain);
+    }
     learn_first_event(w, *instance, attempt.sent_at, attempt.predicted,
                       attempt.unread_tokens, attempt.calls_before == 0);
     w.relay.metrics.late_by.add(
--- /dev/null
+++ b/src/cache_reader.cpp
@@ -0,0 +1,31 @@
+#include "cache_reader.hpp"
+
+#include "daemon_loop.hpp"
+#include "http_client.hpp"
+#include "relay_codec.hpp"
+
+namespace agateledge
+{
+
+cache_reader::cache_reader(http_client &http, daemon_loop &loop,
+                           relay_codec const &codec)
+    : http_(http), loop_(loop), codec_(codec)
+{
+}
+
+void cache_reader::read(cache_read const &read)
+{
+    auto request = codec_.encode_cache_read(read);
+    request.total_timeout = read.timeout;
+    http_.send(request,
+               [this, read](http_reply const &reply)
+               {
+                   auto const status = reply.outcome == http_outcome::answered
+                                           ? reply.status
+                                           : 0;
+                   loop_.input().cache_read_replies.push_back(
+                       codec_.decode_cache_read(read, status, reply.body));
+               });
+}
+
+} // namespace agateledge
--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -33,13 +33,16 @@
 /// behind it, which then leave their homes as well: in bursts of long prompts a
 /// weight of 1 let the engines read 43% of the shared parts again, 8 let them
 /// read 7% (docs/measurements.md).
-constexpr double reread_weight = 8;
+constexpr double reread_weight = 1;
 
-/// Requests that one engine runs at once, over all daemons, before long prompts
-/// wait. An engine admits all that fit and reads them side by side, so that
-/// each of many is late, and their memory displaces the shared parts from its
-/// cache.
-constexpr double requests_at_once = 16;
+/// Cost of a token that is copied from another engine, in seconds: the copy
+/// displaces what the engine's cache holds.
+constexpr double copied_token_cost_s = 40e-6;
+
+/// Requests at one engine, over all daemons, from which on long prompts wait at
+/// the daemon. An engine reads one prompt after the other, and a short urgent
+/// prompt that arrives behind long ones waits for them.
+constexpr double requests_at_once = 8;
 
 /// Prompts with fewer tokens to read never wait for others.
 constexpr int short_prompt_tokens = 2000;
@@ -182,11 +185,46 @@
     return least;
 }
 
-void set_cost(world &w, relay_state_entry const &request, candidate &item)
+/// Engine whose cache others can copy a prompt's shared parts from.
+struct prefix_source
+{
+    instance_state const *instance = nullptr;
+    /// Leading tokens that it is known to have read.
+    int tokens = 0;
+    instant used_at{};
+};
+
+/// @return the engine that has read most of the shared parts, of several the
+///         one that used them last, as an engine's cache drops first what it
+///         used least recently; none when no engine is known to have read any
+prefix_source find_prefix_source(relay_state_entry const &request,
+                                 std::vector<candidate> const &candidates,
+                                 instance_state const *except)
 {
-    bool const home = item.rank == 0 && !request.chain.empty();
+    prefix_source best;
+    for (auto const &item : candidates)
+    {
+        auto const &cache = item.instance->cache;
+        prefix_source const found{
+            item.instance, cache.copyable_tokens(request.chain),
+            request.chain.empty() ? instant{}
+                                  : cache.used_at(request.chain.back())};
+        bool const better = std::pair(found.tokens, found.used_at) >
+                            std::pair(best.tokens, best.used_at);
+        if (item.instance != except && better)
+        {
+            best = found;
+        }
+    }
+    return best;
+}
+
+void set_cost(world &w, relay_state_entry const &request,
+              prefix_source const &source, candidate &item)
+{
+    auto const shared = request.chain.empty() ? 0 : request.chain.back().tokens;
     item.prediction =
-        predict_first_event(w, request, *item.instance, home && !request.kept);
+        predict_first_event(w, request, *item.instance, source.tokens);
     auto &prediction = item.prediction;
     if (request.kept)
     {
@@ -194,11 +232,14 @@
         prediction.time = handover_cost(item);
     }
     auto const speed = prefill_tokens_per_ms(w, *item.instance);
-    auto const shared = request.chain.empty() ? 0 : request.chain.back().tokens;
-    auto const again =
-        request.kept ? 0 : std::max(shared - prediction.cached_tokens, 0);
+    auto const again = request.kept
+                           ? 0
+                           : std::max(shared - prediction.cached_tokens -
+                                          prediction.copied_tokens,
+                                      0);
     item.cost = prediction.time +
                 from_seconds((reread_weight - 1) * again / speed / 1e3) +
+                from_seconds(copied_token_cost_s * prediction.copied_tokens) +
                 rank_cost * item.rank;
     if (item.receives && !request.kept && request.content->prompt)
     {
@@ -212,17 +253,36 @@
     item.cost += from_seconds(to_seconds(rank_cost) * w.random.uniform());
 }
 
-/// @return true when the engine runs as many requests as it should; short
-///         prompts are taken all the same
+/// @return true when the engine has as many requests as it should; short
+///         prompts are sent all the same
 bool is_full(world const &w, instance_state const &instance,
              first_event_prediction const &prediction)
 {
-    if (prediction.unread_tokens < short_prompt_tokens)
+    return prediction.unread_tokens >= short_prompt_tokens &&
+           static_cast<double>(instance.open_calls.size()) >=
+               std::ceil(requests_at_once / w.relay.sharing_daemons());
+}
+
+/// @return address of the engine that the chosen one copies shared parts from
+///         which it does not hold: the last user that is known, or else the
+///         home, where other daemons may have sent them; empty for none
+std::string copy_address(relay_state_entry const &request,
+                         std::vector<candidate> const &candidates,
+                         instance_state const &chosen)
+{
+    if (request.chain.empty())
+    {
+        return {};
+    }
+    auto const source = find_prefix_source(request, candidates, &chosen);
+    if (source.instance != nullptr)
     {
-        return false;
+        return source.instance->definition.address;
     }
-    return static_cast<double>(instance.open_calls.size()) >=
-           std::ceil(requests_at_once / w.relay.sharing_daemons());
+    auto const home = std::ranges::find(candidates, 0, &candidate::rank);
+    bool const elsewhere =
+        home != candidates.end() && home->instance != &chosen;
+    return elsewhere ? home->instance->definition.address : std::string();
 }
 
 } // namespace
@@ -232,8 +292,9 @@
 {
     auto candidates = candidates_of(w, request);
     rank_homes(request, candidates);
-    std::ranges::for_each(candidates,
-                          [&](candidate &item) { set_cost(w, request, item); });
+    auto const source = find_prefix_source(request, candidates, nullptr);
+    std::ranges::for_each(candidates, [&](candidate &item)
+                          { set_cost(w, request, source, item); });
     auto const handover = least_handover_cost(candidates);
     for (auto &item : candidates)
     {
@@ -259,6 +320,11 @@
     {
         out.prediction.time += handover;
     }
+    if (!request.kept)
+    {
+        out.prefix_source_address =
+            copy_address(request, candidates, *best.instance);
+    }
     out.candidates = static_cast<int>(candidates.size());
     out.runner_up = candidates.size() > 1 ? candidates[1].cost : duration(0);
     return out;
--- a/src/choose_instance.hpp
+++ b/src/choose_instance.hpp
@@ -18,6 +18,8 @@
 {
     std::string instance;
     relay_stage stage = relay_stage::run;
+    /// Address of the engine to copy cached prompt parts from; empty for none.
+    std::string prefix_source_address;
     first_event_prediction prediction;
     /// The instance has as much work as it should; the request waits.
     bool full = false;
--- a/src/daemon_loop.cpp
+++ b/src/daemon_loop.cpp
@@ -126,6 +126,7 @@
     each(out.relay_cancels, handlers.cancel_relay);
     each(out.relay_calls, handlers.call_instance);
     each(out.kv_releases, handlers.release_kv);
+    each(out.cache_reads, handlers.read_cache);
     each(out.row_reads, handlers.read_rows);
     each(out.daemon_row_writes, handlers.write_daemon_row);
     if (out.stop_ready && handlers.stop)
--- a/src/daemon_loop.hpp
+++ b/src/daemon_loop.hpp
@@ -29,6 +29,7 @@
     std::function<void(relay_cancel const &)> cancel_relay;
     std::function<void(relay_call const &)> call_instance;
     std::function<void(kv_release const &)> release_kv;
+    std::function<void(cache_read const &)> read_cache;
     std::function<void(row_read const &)> read_rows;
     std::function<void(daemon_row_write const &)> write_daemon_row;
     /// Runs after all replies of a tick, so that they can be sent together.
--- /dev/null
+++ b/src/follow_caches.cpp
@@ -0,0 +1,128 @@
+#include "follow_caches.hpp"
+
+#include "log_relay.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Reads that all daemons together make of one engine's cache in a second. A
+/// shared part is used again after some seconds; each read is priced.
+constexpr double reads_per_engine_s = 6;
+
+/// Time for one read; its reply is of no use later.
+constexpr duration read_timeout = milliseconds(800);
+
+/// Pause after a failed read.
+constexpr duration pause_after_failure = seconds(1);
+
+void log_read(world &w, instance_state const &engine, std::string event,
+              cache_read_reply const &reply)
+{
+    log_relay(w, log_level::info, std::move(event),
+              {{"instance", engine.definition.id},
+               {"status", std::to_string(reply.status)},
+               {"after_change", std::to_string(engine.cache_feed.last_change)},
+               {"last_change", std::to_string(reply.last_change)}});
+}
+
+void take_failure(world &w, instance_state &engine,
+                  cache_read_reply const &reply)
+{
+    auto &feed = engine.cache_feed;
+    feed.next_read = w.now + pause_after_failure;
+    if (!std::exchange(feed.failing, true))
+    {
+        log_read(w, engine, "cache_read_failed", reply);
+    }
+}
+
+void take_changes(world &w, instance_state &engine,
+                  cache_read_reply const &reply)
+{
+    auto &feed = engine.cache_feed;
+    feed.failing = false;
+    if (feed.epoch != reply.epoch)
+    {
+        engine.cache.clear();
+        feed.epoch = reply.epoch;
+    }
+    else if (reply.gap)
+    {
+        // What left the cache meanwhile is not known; the parts that this
+        // daemon uses come back with the next calls.
+        engine.cache.clear();
+        log_read(w, engine, "cache_changes_lost", reply);
+    }
+    feed.last_change = reply.last_change;
+    std::ranges::for_each(reply.changes,
+                          [&engine, now = w.now](cache_change const &change)
+                          { engine.cache.record(change, now); });
+}
+
+void take_reply(world &w, cache_read_reply const &reply)
+{
+    ++w.relay.metrics.cache_reads[reply.answered ? "answered" : "failed"];
+    auto *engine = w.relay.instances.find(reply.instance);
+    if (engine == nullptr)
+    {
+        return;
+    }
+    engine->cache_feed.in_flight = false;
+    if (!reply.answered)
+    {
+        take_failure(w, *engine, reply);
+        return;
+    }
+    take_changes(w, *engine, reply);
+}
+
+void read_cache(world &w, instance_state &engine)
+{
+    auto &feed = engine.cache_feed;
+    if (feed.in_flight || !engine.definition.accepts_work)
+    {
+        return;
+    }
+    if (feed.next_read > w.now)
+    {
+        wake_at(w, feed.next_read);
+        return;
+    }
+    cache_read read;
+    read.instance = engine.definition.id;
+    read.address = engine.definition.address;
+    read.after_change = feed.last_change;
+    read.timeout = read_timeout;
+    // Spreads the reads of all engines and daemons over the interval.
+    feed.next_read =
+        w.now + from_seconds(w.relay.sharing_daemons() / reads_per_engine_s *
+                             (0.75 + 0.5 * w.random.uniform()));
+    feed.in_flight = true;
+    w.out.cache_reads.push_back(std::move(read));
+    wake_at(w, feed.next_read);
+}
+
+} // namespace
+
+void follow_caches(world &w)
+{
+    std::ranges::for_each(w.in.cache_read_replies,
+                          [&w](cache_read_reply const &reply)
+                          { take_reply(w, reply); });
+    for (auto &[id, engine] : w.relay.instances.all())
+    {
+        if (engine.definition.role != engine_role::mixed)
+        {
+            read_cache(w, engine);
+        }
+    }
+}
+
+} // namespace agateledge
--- a/src/inbox.hpp
+++ b/src/inbox.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_INBOX_HPP
 #define AGATELEDGE_INBOX_HPP
 
+#include "cache_messages.hpp"
 #include "engine_order.hpp"
 #include "heartbeat.hpp"
 #include "ids.hpp"
@@ -221,6 +222,7 @@
     std::vector<relay_departure> relay_departures;
     std::vector<relay_event> relay_events;
     std::vector<prefill_result> prefill_results;
+    std::vector<cache_read_reply> cache_read_replies;
     std::vector<row_read_reply> row_read_replies;
     bool shutdown = false;
 };
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -47,6 +47,18 @@
     call_results results_at(instant now) const;
 };
 
+/// How far the changes of an engine's prefix cache have been read.
+struct cache_feed_state
+{
+    bool in_flight = false;
+    /// The last read failed.
+    bool failing = false;
+    instant next_read{};
+    std::string epoch;
+    /// Change up to which the cache is known.
+    std::uint64_t last_change = 0;
+};
+
 /// An engine or endpoint of the directory, with what this daemon has seen of
 /// it.
 struct instance_state
@@ -68,6 +80,7 @@
     duration delay{};
     instant delay_seen_at{};
     prompt_cache_view cache;
+    cache_feed_state cache_feed;
 };
 
 /// Instances of the directory by id.
--- a/src/outbox.hpp
+++ b/src/outbox.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_OUTBOX_HPP
 #define AGATELEDGE_OUTBOX_HPP
 
+#include "cache_messages.hpp"
 #include "inbox.hpp"
 #include "result_code.hpp"
 
@@ -156,6 +157,7 @@
     std::vector<relay_cancel> relay_cancels;
     std::vector<relay_call> relay_calls;
     std::vector<kv_release> kv_releases;
+    std::vector<cache_read> cache_reads;
     std::vector<row_read> row_reads;
     std::vector<daemon_row_write> daemon_row_writes;
     /// True once a shutdown has finished and the process may exit.
--- a/src/place_relays.cpp
+++ b/src/place_relays.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,22 +25,10 @@
 /// Ranks that engines know, 0 for the most urgent.
 constexpr int least_urgent_rank = 9;
 
-/// Part of an engine's KV cache that is believed to hold shared prompt parts;
-/// running requests take the rest.
-constexpr double cached_share = 0.6;
-
 /// Callers are told to return after a part of the wait that made the request
 /// impossible.
 constexpr duration shortest_retry_after = milliseconds(500);
 
-std::int64_t cache_capacity(world const &w, std::string const &service)
-{
-    auto const *profile = find_service(*w.relay.routing, service);
-    auto const capacity = profile == nullptr ? 0 : profile->kv_capacity_tokens;
-    return static_cast<std::int64_t>(static_cast<double>(capacity) *
-                                     cached_share);
-}
-
 relay_call make_call(world const &w, relay_state_entry const &request,
                      instance_state const &instance,
                      instance_choice const &choice, attempt_number attempt)
@@ -53,6 +42,7 @@
     call.address = instance.definition.address;
     call.stage = choice.stage;
     call.time_left = left;
+    call.prefix_source_address = choice.prefix_source_address;
     call.resume_after = request.last_event;
     call.connect_timeout = std::min(left, longest_connect);
     if (request.content->prompt)
@@ -102,7 +92,7 @@
                         instance.open_calls.size(), false});
     instance.open_calls.insert(attempt);
     instance.unread_tokens += choice.prediction.unread_tokens;
-    instance.cache.note(request.chain, cache_capacity(w, request.service));
+    instance.cache.note(request.chain, w.now);
     request.attempt = attempt;
     request.tried.push_back(choice.instance);
     request.runs += prefill ? 0 : 1;
@@ -118,24 +108,35 @@
         static_cast<std::uint64_t>(choice.prediction.unread_tokens);
 }
 
-/// Prompt tokens of this daemon's waiting requests by the engine that they wait
-/// for.
+/// Prompt tokens of this daemon's waiting requests by service.
 using queued_tokens = std::map<std::string, double>;
 
-/// @return time until an engine has read the prompts that wait for it here and,
-///         as far as they are like this one, at the other daemons
-duration queue_time(world const &w, instance_choice const &choice,
-                    queued_tokens const &queued)
+/// @return prompt tokens that the engines of a service read in a millisecond
+double fleet_tokens_per_ms(world const &w, std::string const &service)
+{
+    auto const &instances = w.relay.instances.of_service(service);
+    return std::accumulate(instances.begin(), instances.end(), 0.0,
+                           [&w](double sum, instance_state const *engine)
+                           {
+                               return sum +
+                                      (engine->definition.accepts_work
+                                           ? prefill_tokens_per_ms(w, *engine)
+                                           : 0);
+                           });
+}
+
+/// @return time until the engines have read the prompts that wait here before
+///         this one and, as far as they are like this daemon, at the others
+duration queue_time(world const &w, std::string const &service,
+                    instance_choice const &choice, queued_tokens const &queued)
 {
-    auto const found = queued.find(choice.instance);
+    auto const found = queued.find(service);
     if (!choice.full || found == queued.end())
     {
         return duration(0);
     }
-    auto const speed =
-        prefill_tokens_per_ms(w, *w.relay.instances.find(choice.instance));
-    return from_seconds(found->second * w.relay.sharing_daemons() / speed /
-                        1e3);
+    return from_seconds(found->second * w.relay.sharing_daemons() /
+                        fleet_tokens_per_ms(w, service) / 1e3);
 }
 
 /// Sends or refuses the request, or lets it wait.
@@ -149,8 +150,8 @@
         return;
     }
     auto const left = request.expires_at - w.now;
-    auto const needed =
-        choice->prediction.time + queue_time(w, *choice, queued);
+    auto const needed = choice->prediction.time +
+                        queue_time(w, request.service, *choice, queued);
     if (request.runs == 0 && needed > left)
     {
         auto const excess = needed - left;
@@ -162,7 +163,7 @@
     }
     if (choice->full)
     {
-        queued[choice->instance] += choice->prediction.unread_tokens;
+        queued[request.service] += choice->prediction.unread_tokens;
         w.relay.waiting.push_back(number);
         return;
     }
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -27,6 +27,9 @@
 /// the set-up of a request, and one step of the batch.
 constexpr duration engine_base = milliseconds(20);
 
+/// Time that a copy from another engine's cache takes beside the transfer.
+constexpr duration copy_base = milliseconds(8);
+
 /// Time of a plain call on an idle endpoint.
 constexpr duration endpoint_base = milliseconds(15);
 
@@ -61,6 +64,19 @@
     return most;
 }
 
+/// @return time to copy cached tokens from another engine
+duration copying_time(world const &w, std::string const &service, int tokens)
+{
+    auto const *profile = find_service(*w.relay.routing, service);
+    if (tokens == 0 || profile == nullptr || profile->kv_bytes_per_ms <= 0)
+    {
+        return duration(0);
+    }
+    auto const transfer_ms =
+        tokens * profile->kv_bytes_per_token / profile->kv_bytes_per_ms;
+    return copy_base + from_seconds(transfer_ms / 1e3);
+}
+
 duration reading_time(world const &w, instance_state const &instance,
                       double tokens)
 {
@@ -86,7 +102,7 @@
 first_event_prediction predict_first_event(world const &w,
                                            relay_state_entry const &request,
                                            instance_state const &instance,
-                                           bool is_home)
+                                           int copyable_tokens)
 {
     first_event_prediction out;
     out.wait = std::max(delay_now(w, instance), overdue(w, instance));
@@ -98,14 +114,15 @@
         return out;
     }
     auto const tokens = request.content->prompt->prompt_tokens;
-    auto const shared = request.chain.empty() ? 0 : request.chain.back().tokens;
-    out.cached_tokens =
-        is_home ? shared : instance.cache.cached_tokens(request.chain);
-    out.unread_tokens = std::max(tokens - out.cached_tokens, 1);
+    out.cached_tokens = instance.cache.cached_tokens(request.chain, w.now);
+    out.copied_tokens = std::max(copyable_tokens - out.cached_tokens, 0);
+    out.unread_tokens =
+        std::max(tokens - out.cached_tokens - out.copied_tokens, 1);
     out.wait +=
         reading_time(w, instance, static_cast<double>(instance.unread_tokens));
-    out.time =
-        out.wait + engine_base + reading_time(w, instance, out.unread_tokens);
+    out.time = out.wait + engine_base +
+               copying_time(w, request.service, out.copied_tokens) +
+               reading_time(w, instance, out.unread_tokens);
     return out;
 }
 
--- a/src/predict_first_event.hpp
+++ b/src/predict_first_event.hpp
@@ -22,6 +22,8 @@
     int unread_tokens = 0;
     /// Prompt tokens that are believed to be in its prefix cache.
     int cached_tokens = 0;
+    /// Prompt tokens that it copies from another engine's cache.
+    int copied_tokens = 0;
 };
 
 /// Predicts the time to the first event from the instance's open calls, from
@@ -31,12 +33,11 @@
 /// @param w the daemon
 /// @param request request to be sent
 /// @param instance where it would be sent
-/// @param is_home the instance is the home of the request's shared prompt
-///        parts, which are then assumed to be cached there
+/// @param copyable_tokens leading tokens that it can copy from another engine
 first_event_prediction predict_first_event(world const &w,
                                            relay_state_entry const &request,
                                            instance_state const &instance,
-                                           bool is_home);
+                                           int copyable_tokens);
 
 /// Learns from the first bytes of a reply how much later than predicted the
 /// instance replies, and how fast an idle engine reads.
--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_RELAY_CODEC_HPP
 #define AGATELEDGE_RELAY_CODEC_HPP
 
+#include "cache_messages.hpp"
 #include "http_call.hpp"
 #include "relay_messages.hpp"
 #include "row_messages.hpp"
@@ -55,6 +56,14 @@
     /// Release of a KV cache that an engine keeps.
     std::function<http_request(kv_release const &)> encode_release;
 
+    /// Read of an engine's cache changes.
+    std::function<http_request(cache_read const &)> encode_cache_read;
+
+    /// Reply to a read; `status` is 0 for none.
+    std::function<cache_read_reply(cache_read const &, int status,
+                                   std::string_view body)>
+        decode_cache_read;
+
     std::function<http_request(row_read const &)> encode_row_read;
 
     std::function<row_read_reply(row_read const &, int status,
--- a/src/relay_messages.hpp
+++ b/src/relay_messages.hpp
@@ -111,6 +111,9 @@
     /// handle; empty for none.
     std::string kv_source_address;
     std::string kv_handle;
+    /// Address of an engine whose cache holds more of the prompt; the called
+    /// engine copies that part. Empty for none.
+    std::string prefix_source_address;
     /// Event after which the stream goes on; empty for its begin.
     std::string resume_after;
     duration connect_timeout{};
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -25,6 +25,8 @@
     counter_map refusals;
     /// Calls to instances by result.
     counter_map calls;
+    /// Reads of engines' cache changes by result.
+    counter_map cache_reads;
     /// Calls to the store by result.
     counter_map store_calls;
     std::uint64_t retries = 0;
--- a/src/relay_metrics_text.cpp
+++ b/src/relay_metrics_text.cpp
@@ -62,6 +62,7 @@
     write_counters(out, "requests_total", "outcome", metrics.requests);
     write_counters(out, "refusals_total", "code", metrics.refusals);
     write_counters(out, "calls_total", "result", metrics.calls);
+    write_counters(out, "cache_reads_total", "result", metrics.cache_reads);
     write_counters(out, "store_calls_total", "result", metrics.store_calls);
     write_value(out, "retries_total", "counter",
                 static_cast<double>(metrics.retries));
--- a/src/relay_process.cpp
+++ b/src/relay_process.cpp
@@ -57,7 +57,7 @@
              seed),
       loop_(state_), instance_http_(instance_idle_time),
       callers_(state_, loop_, codec_, limits_of(config_)),
-      instances_(instance_http_, loop_, codec_),
+      instances_(instance_http_, loop_, codec_), caches_(http_, loop_, codec_),
       rows_(http_, loop_, codec_, config_.store_address)
 {
     state_.relay.enabled = true;
@@ -95,6 +95,8 @@
     { instances_.cancel(cancel); };
     handlers.release_kv = [this](kv_release const &release)
     { instances_.release(release); };
+    handlers.read_cache = [this](cache_read const &read)
+    { caches_.read(read); };
     handlers.read_rows = [this](row_read const &read) { rows_.read(read); };
     handlers.write_daemon_row = [this](daemon_row_write const &write)
     { rows_.write(write); };
--- a/src/relay_process.hpp
+++ b/src/relay_process.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_RELAY_PROCESS_HPP
 #define AGATELEDGE_RELAY_PROCESS_HPP
 
+#include "cache_reader.hpp"
 #include "daemon_loop.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
@@ -77,6 +78,7 @@
     http_client instance_http_;
     relay_listener callers_;
     instance_client instances_;
+    cache_reader caches_;
     row_client rows_;
     http_server readiness_;
     http_server metrics_;
--- a/src/routing_configuration.hpp
+++ b/src/routing_configuration.hpp
@@ -20,6 +20,11 @@
     /// Tokens that fit into the KV cache of one engine; 0 for a service
     /// without model engines.
     std::int64_t kv_capacity_tokens = 0;
+    /// Bytes of KV cache for each token.
+    double kv_bytes_per_token = 0;
+    /// Bytes of KV cache that an engine sends or receives in a millisecond; 0
+    /// when not told.
+    double kv_bytes_per_ms = 0;
 
     auto operator<=>(service_profile const &) const = default;
 };
--- a/src/tick_relays.cpp
+++ b/src/tick_relays.cpp
@@ -3,6 +3,7 @@
 #include "admit_relays.hpp"
 #include "advance_relays.hpp"
 #include "expire_relays.hpp"
+#include "follow_caches.hpp"
 #include "follow_directory.hpp"
 #include "follow_store.hpp"
 #include "judge_instances.hpp"
@@ -18,6 +19,7 @@
     follow_directory(w);
     advance_relays(w);
     judge_instances(w);
+    follow_caches(w);
     admit_relays(w);
     expire_relays(w);
     place_relays(w);
--- /dev/null
+++ b/test/correctness/relay_cache_test.cpp
@@ -0,0 +1,136 @@
+// Guards against shared prompt parts being read again although an engine holds
+// them: under the heaviest load, bursts of long prompts that enter by several
+// daemons, each token that is read again delays the prompts behind it.
+#include "relay_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace
+{
+
+using namespace agateledge;
+
+constexpr int shared_tokens = 13300;
+constexpr int own_tokens = 3700;
+constexpr std::uint64_t part = 7;
+
+cache_read_reply changes_of(std::string const &engine, std::string const &epoch,
+                            std::vector<cache_change> const &changes)
+{
+    cache_read_reply reply;
+    reply.instance = engine;
+    reply.answered = true;
+    reply.epoch = epoch;
+    reply.last_change = changes.size();
+    reply.changes = changes;
+    return reply;
+}
+
+void report(relay_fixture &daemon, cache_read_reply const &reply)
+{
+    daemon.state.in.cache_read_replies.push_back(reply);
+    daemon.tick_now();
+}
+
+relay_call send_one(relay_fixture &daemon)
+{
+    daemon.send("/once/1", part, shared_tokens, own_tokens);
+    auto const out = daemon.advance(milliseconds(10));
+    EXPECT_EQ(out.relay_calls.size(), 1U);
+    return out.relay_calls.empty() ? relay_call{} : out.relay_calls.front();
+}
+
+std::string address_of(relay_fixture &daemon, std::string const &engine)
+{
+    return daemon.state.relay.instances.find(engine)->definition.address;
+}
+
+TEST(relay_cache, a_part_that_another_daemon_had_read_is_used_where_it_lies)
+{
+    for (auto const *holder : {"decode-2", "decode-5"})
+    {
+        relay_fixture daemon;
+        daemon.list_engines(6, engine_role::decode);
+        report(daemon, changes_of(holder, "1", {{"m", part, shared_tokens}}));
+        EXPECT_EQ(send_one(daemon).instance, holder);
+    }
+}
+
+TEST(relay_cache, a_busy_holder_lends_its_part_to_another_engine)
+{
+    relay_fixture daemon;
+    daemon.list_engines(6, engine_role::decode);
+    report(daemon, changes_of("decode-2", "1", {{"m", part, shared_tokens}}));
+    daemon.state.relay.instances.find("decode-2")->unread_tokens = 90000;
+    auto const call = send_one(daemon);
+    EXPECT_NE(call.instance, "decode-2");
+    EXPECT_EQ(call.prefix_source_address, address_of(daemon, "decode-2"));
+    auto const &attempt = *daemon.state.relay.requests.find(call.attempt);
+    EXPECT_EQ(attempt.unread_tokens, own_tokens);
+}
+
+TEST(relay_cache, a_part_that_left_the_cache_is_not_counted_on)
+{
+    relay_fixture daemon;
+    daemon.list_engines(6, engine_role::decode);
+    report(daemon, changes_of("decode-2", "1",
+                              {{"m", part, shared_tokens}, {"m", part, 0}}));
+    auto const call = send_one(daemon);
+    auto const &attempt = *daemon.state.relay.requests.find(call.attempt);
+    EXPECT_EQ(attempt.unread_tokens, shared_tokens + own_tokens);
+}
+
+TEST(relay_cache, a_restarted_engine_holds_nothing)
+{
+    relay_fixture daemon;
+    daemon.list_engines(6, engine_role::decode);
+    report(daemon, changes_of("decode-2", "1", {{"m", part, shared_tokens}}));
+    report(daemon, changes_of("decode-2", "2", {}));
+    auto const call = send_one(daemon);
+    auto const &attempt = *daemon.state.relay.requests.find(call.attempt);
+    EXPECT_EQ(attempt.unread_tokens, shared_tokens + own_tokens);
+}
+
+TEST(relay_cache, parts_before_a_missing_one_do_not_count)
+{
+    prompt_shape prompt;
+    prompt.model = "m";
+    prompt.parts = {{1, 2520}, {2, 3780}, {3, 2890}};
+    auto const chain = shared_chain_of(prompt);
+    prompt_cache_view cache;
+    cache.record({"m", 2, 3780}, instant{});
+    EXPECT_EQ(cache.copyable_tokens(chain), 0);
+    cache.record({"other", 1, 2520}, instant{});
+    EXPECT_EQ(cache.copyable_tokens(chain), 0);
+    cache.record({"m", 1, 2520}, instant{});
+    EXPECT_EQ(cache.copyable_tokens(chain), 6300);
+}
+
+// An engine that does not answer must not be asked without a pause, and one
+// that leaves must not be asked at all.
+TEST(relay_cache, reads_of_a_cache_are_bounded)
+{
+    relay_fixture daemon;
+    daemon.list_engines(1, engine_role::decode);
+    // Ends the read that the listing began.
+    cache_read_reply failed;
+    failed.instance = "decode-1";
+    report(daemon, failed);
+    int reads = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        for (auto const &read : daemon.advance(milliseconds(10)).cache_reads)
+        {
+            ++reads;
+            failed.instance = read.instance;
+            daemon.state.in.cache_read_replies.push_back(failed);
+        }
+    }
+    EXPECT_GE(reads, 5);
+    EXPECT_LE(reads, 11);
+}
+
+} // namespace
--- a/test/error/platform_codec_test.cpp
+++ b/test/error/platform_codec_test.cpp
@@ -54,6 +54,7 @@
                                            {"kv-hold", "h"},
                                            {"Pin-Ms", "9"},
                                            {"Kv-Source", "1.2.3.4:5/x"},
+                                           {"Kv-Fetch", "1.2.3.4:5"},
                                            {"Target-Instance", "other"},
                                            {"Connection", "close, X-Hop"},
                                            {"X-Hop", "1"},
@@ -71,12 +72,42 @@
     EXPECT_EQ(value_in(sent.headers, "Target-Instance"), "i-1");
     EXPECT_EQ(value_in(sent.headers, "Deadline-Ms"), "650");
     EXPECT_EQ(value_in(sent.headers, "X-Kept"), "2");
-    for (auto const *name : {"kv-hold", "Pin-Ms", "Kv-Source", "X-Hop"})
+    for (auto const *name :
+         {"kv-hold", "Pin-Ms", "Kv-Source", "Kv-Fetch", "X-Hop"})
     {
         EXPECT_EQ(value_in(sent.headers, name), "") << name;
     }
 }
 
+TEST(platform_codec, cache_changes_are_read_by_what_the_engine_keeps)
+{
+    auto const codec = platform::make_codec();
+    cache_read read;
+    read.instance = "i-1";
+    read.after_change = 15;
+    EXPECT_EQ(codec.encode_cache_read(read).path, "/v1/kv-events?since=15");
+    auto const reply = codec.decode_cache_read(
+        read, 200,
+        R"({"epoch":189103308581463,"next":17,"lost":true,"events":[)"
+        R"([16,"+","","f1243adba1ab",340,"m"],[17,"-","","a1",0,"m"],)"
+        R"([18,"+","","not hexadecimal",5,"m"],[19],"x",)"
+        R"([20,"+","","a2","5","m"]]})");
+    EXPECT_TRUE(reply.answered);
+    EXPECT_TRUE(reply.gap);
+    EXPECT_EQ(reply.instance, "i-1");
+    EXPECT_EQ(reply.epoch, "189103308581463");
+    EXPECT_EQ(reply.last_change, 17U);
+    std::vector<cache_change> const expected{{"m", 0xf1243adba1ab, 340},
+                                             {"m", 0xa1, 0}};
+    EXPECT_EQ(reply.changes, expected);
+    for (auto const *body : {"", "[]", "{", "7"})
+    {
+        EXPECT_FALSE(codec.decode_cache_read(read, 200, body).answered) << body;
+    }
+    EXPECT_FALSE(codec.decode_cache_read(read, 429, "{}").answered);
+    EXPECT_FALSE(codec.decode_cache_read(read, 0, "").answered);
+}
+
 TEST(platform_codec, a_request_with_two_lengths_or_no_id_is_refused)
 {
     auto const codec = platform::make_codec();
