--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -19,8 +19,8 @@
 /// calls' set-up and the transfer of a long prompt.
 constexpr duration handover_time = milliseconds(35);
 
-/// Cost of a place further down the home ranking, so that daemons that leave
-/// the home of a prompt go to the same engine.
+/// Cost of a place further down the ranking for a prompt's shared parts, so
+/// that daemons that know of no engine that holds them choose the same one.
 constexpr duration rank_cost = milliseconds(3);
 /// Ranks beyond this one cost the same.
 constexpr int last_rank = 8;
@@ -29,14 +29,8 @@
 /// of its answer, and the bytes between data centres.
 constexpr duration remote_cost = milliseconds(4);
 
-/// Weight of reading shared parts again. Besides this request it delays those
-/// behind it, which then leave their homes as well: in bursts of long prompts a
-/// weight of 1 let the engines read 43% of the shared parts again, 8 let them
-/// read 7% (docs/measurements.md).
-constexpr double reread_weight = 1;
-
-/// Cost of a token that is copied from another engine, in seconds: the copy
-/// displaces what the engine's cache holds.
+/// Cost of a token that is copied from another engine, in seconds, beside the
+/// time of the copy: it displaces other parts from the engine's cache.
 constexpr double copied_token_cost_s = 40e-6;
 
 /// Requests at one engine, over all daemons, from which on long prompts wait at
@@ -59,8 +53,8 @@
 constexpr duration receiver_reading_cost = milliseconds(200);
 
 /// An engine in decode role reads at half the speed of one in prefill role and
-/// gets half as many homes.
-constexpr double prefill_home_weight = 2;
+/// ranks first for half as many parts.
+constexpr double prefill_rank_weight = 2;
 
 /// @return true for an engine in decode role that takes new work
 bool decodes(instance_state const *instance)
@@ -96,13 +90,13 @@
         std::ceil(receiving_share * static_cast<double>(decoding)));
 }
 
-double home_score(std::uint64_t key, instance_state const &instance)
+double rank_score(std::uint64_t key, instance_state const &instance)
 {
     auto const &id = instance.definition.id;
     auto const bits = XXH3_64bits_withSeed(id.data(), id.size(), key);
     auto const uniform = (static_cast<double>(bits >> 11) + 0.5) * 0x1p-53;
     auto const weight = instance.definition.role == engine_role::prefill
-                            ? prefill_home_weight
+                            ? prefill_rank_weight
                             : 1.0;
     return -std::log(uniform) / weight;
 }
@@ -143,8 +137,8 @@
     return fresh.empty() ? rest : fresh;
 }
 
-void rank_homes(relay_state_entry const &request,
-                std::vector<candidate> &candidates)
+void rank_candidates(relay_state_entry const &request,
+                     std::vector<candidate> &candidates)
 {
     if (request.chain.empty())
     {
@@ -155,7 +149,7 @@
     std::ranges::transform(
         candidates, std::back_inserter(scores),
         [key](candidate &item)
-        { return std::pair(home_score(key, *item.instance), &item); });
+        { return std::pair(rank_score(key, *item.instance), &item); });
     std::ranges::sort(scores, {}, &std::pair<double, candidate *>::first);
     int rank = 0;
     for (auto const &[score, item] : scores)
@@ -222,7 +216,6 @@
 void set_cost(world &w, relay_state_entry const &request,
               prefix_source const &source, candidate &item)
 {
-    auto const shared = request.chain.empty() ? 0 : request.chain.back().tokens;
     item.prediction =
         predict_first_event(w, request, *item.instance, source.tokens);
     auto &prediction = item.prediction;
@@ -231,14 +224,7 @@
         prediction.unread_tokens = 0;
         prediction.time = handover_cost(item);
     }
-    auto const speed = prefill_tokens_per_ms(w, *item.instance);
-    auto const again = request.kept
-                           ? 0
-                           : std::max(shared - prediction.cached_tokens -
-                                          prediction.copied_tokens,
-                                      0);
     item.cost = prediction.time +
-                from_seconds((reread_weight - 1) * again / speed / 1e3) +
                 from_seconds(copied_token_cost_s * prediction.copied_tokens) +
                 rank_cost * item.rank;
     if (item.receives && !request.kept && request.content->prompt)
@@ -265,7 +251,8 @@
 
 /// @return address of the engine that the chosen one copies shared parts from
 ///         which it does not hold: the last user that is known, or else the
-///         home, where other daemons may have sent them; empty for none
+///         first in rank, where other daemons may have sent them; empty for
+///         none
 std::string copy_address(relay_state_entry const &request,
                          std::vector<candidate> const &candidates,
                          instance_state const &chosen)
@@ -279,10 +266,10 @@
     {
         return source.instance->definition.address;
     }
-    auto const home = std::ranges::find(candidates, 0, &candidate::rank);
+    auto const first = std::ranges::find(candidates, 0, &candidate::rank);
     bool const elsewhere =
-        home != candidates.end() && home->instance != &chosen;
-    return elsewhere ? home->instance->definition.address : std::string();
+        first != candidates.end() && first->instance != &chosen;
+    return elsewhere ? first->instance->definition.address : std::string();
 }
 
 } // namespace
@@ -291,7 +278,7 @@
                                                relay_state_entry const &request)
 {
     auto candidates = candidates_of(w, request);
-    rank_homes(request, candidates);
+    rank_candidates(request, candidates);
     auto const source = find_prefix_source(request, candidates, nullptr);
     std::ranges::for_each(candidates, [&](candidate &item)
                           { set_cost(w, request, source, item); });
--- a/src/choose_instance.hpp
+++ b/src/choose_instance.hpp
@@ -30,10 +30,11 @@
 };
 
 /// Chooses the instance with the earliest predicted first event. Answers the
-/// load of the heaviest days, bursts of long prompts with shared parts: the
-/// parts have a home by weighted rendezvous hashing, on which all daemons agree
-/// without messages, and leave it for the next engine in rank when reading them
-/// again there is predicted to be earlier than waiting.
+/// load of the heaviest days, bursts of long prompts with shared parts: an
+/// engine that holds them is preferred, and another one copies them from it
+/// when that is predicted to be earlier than waiting. Parts that no engine is
+/// known to hold go by weighted rendezvous hashing, so that daemons agree on
+/// the engine that reads them without messages.
 ///
 /// Engines in prefill role are used when the KV cache that they fill can be
 /// handed to an engine in decode role earlier than the latter would read the
