Ask the store again in time after an outage; derive the paces from the bounds

Ruled out: a version that was passed over (the row versions in the log follow each other).

The paces of all reads come from the bounds in the settings, and the daemons' own rows are written less often in larger fleets.

--- a/harness/relay_fixture.cpp
+++ b/harness/relay_fixture.cpp
@@ -57,6 +57,10 @@
     std::ranges::move(part.kv_releases, std::back_inserter(all.kv_releases));
     std::ranges::move(part.cache_reads, std::back_inserter(all.cache_reads));
     std::ranges::move(part.row_reads, std::back_inserter(all.row_reads));
+    std::ranges::move(part.daemon_row_writes,
+                      std::back_inserter(all.daemon_row_writes));
+    std::ranges::move(part.peer_load_reports,
+                      std::back_inserter(all.peer_load_reports));
     std::ranges::move(part.log_entries, std::back_inserter(all.log_entries));
     all.stop_ready |= part.stop_ready;
 }
--- a/src/follow_directory.cpp
+++ b/src/follow_directory.cpp
@@ -1,6 +1,7 @@
 #include "follow_directory.hpp"
 
 #include "log_relay.hpp"
+#include "store_paces.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -16,19 +17,11 @@
 namespace
 {
 
-/// Time from the store's return until a row that is still missing is gone: rows
-/// of living instances are back after 2 s, and the changes are read every 0.7
-/// s.
-constexpr duration lapse_grace = milliseconds(2200);
-
 /// Part of the instances that must be missing for an outage of the store to be
 /// the reason. A store that was away for this daemon only has renewed the rows
 /// of all others meanwhile.
 constexpr double lapsed_share = 1.0 / 3;
 
-/// A daemon whose row has not changed for three intervals is not counted.
-constexpr duration daemon_row_lifetime = seconds(16);
-
 void put_configuration(world &w, row_read_reply const &reply)
 {
     if (!reply.fault.empty())
@@ -78,7 +71,7 @@
 bool in_lapse_grace(world const &w)
 {
     auto const &store = w.relay.store;
-    return store.failed_at && w.now < store.restored_at + lapse_grace;
+    return store.failed_at && w.now < store.restored_at + instance_lapse_grace;
 }
 
 void miss_instance(world &w, std::string const &id, bool outage)
@@ -93,7 +86,7 @@
         remove_instance(w, id);
         return;
     }
-    instance->lapses_at = w.relay.store.restored_at + lapse_grace;
+    instance->lapses_at = w.relay.store.restored_at + instance_lapse_grace;
     log_instance(w, "instance_lapsed", *instance);
 }
 
@@ -241,11 +234,12 @@
 void drop_silent_daemons(world &w)
 {
     std::erase_if(w.relay.daemons,
-                  [&w](auto const &item)
+                  [&w, lifetime](auto const &item)
+    auto const lifetime = daemon_row_lifetime(w.relay);
                   {
                       bool const silent =
                           w.relay.store.reachable &&
-                          w.now - item.second > daemon_row_lifetime;
+                          w.now - item.second.seen_at > lifetime;
                       if (silent)
                       {
                           log_relay(w, log_level::info, "daemon_lost",
--- a/src/follow_store.cpp
+++ b/src/follow_store.cpp
@@ -1,10 +1,10 @@
 #include "follow_store.hpp"
 
 #include "log_relay.hpp"
+#include "store_paces.hpp"
 #include "world.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace agateledge
@@ -13,37 +13,28 @@
 namespace
 {
 
-/// Pause between two reads of a table's changes, and the time for which the
-/// store holds a read until there are changes. The configuration must be in
-/// force within 2 s, and new work must stop 2 s after an instance leaves.
-struct follow_pace
-{
-    duration pause;
-    duration wait;
-};
-
-constexpr std::array<follow_pace, followed_table_count> paces{
-    follow_pace{milliseconds(0), milliseconds(1200)},
-    follow_pace{milliseconds(700), milliseconds(0)},
-    follow_pace{seconds(5), milliseconds(0)},
-};
-
-/// Time that a read may take beyond the time that the store holds it: 4 ms at
-/// the usual speed, and up to 60 times as long while the store is slow.
-constexpr duration read_timeout = milliseconds(1500);
-
 /// Pauses after failed reads; the first is doubled with each further failure.
+/// The longest one and the timeout of a failing read end within the time in
+/// which a daemon must know the store's state again after an outage.
 constexpr duration first_backoff = milliseconds(150);
-constexpr duration longest_backoff = milliseconds(1500);
+constexpr duration longest_backoff = milliseconds(800);
 
-/// Pause after which a daemon writes its row again.
-constexpr duration daemon_row_interval = seconds(5);
+/// Timeout of a read after a failed one, which the store does not hold.
+constexpr duration failing_read_timeout = milliseconds(1000);
 
 table_follower &follower_of(world &w, followed_table table)
 {
     return w.relay.followers.at(static_cast<std::size_t>(table));
 }
 
+store_pace pace_of(world const &w, followed_table table)
+{
+    auto const &store = w.relay.store;
+    bool const restored =
+        store.failed_at && w.now < store.restored_at + instance_lapse_grace;
+    return store_pace_of(w.relay, table, restored);
+}
+
 duration backoff(world &w, int failures)
 {
     auto const doubled = first_backoff * (1 << std::min(failures - 1, 5));
@@ -120,8 +111,7 @@
     {
         follower.version = std::max(follower.version, reply.version);
     }
-    follower.next_read =
-        w.now + paces.at(static_cast<std::size_t>(reply.table)).pause;
+    follower.next_read = w.now + pace_of(w, reply.table).pause;
 }
 
 void take_reply(world &w, row_read_reply const &reply)
@@ -149,14 +139,16 @@
         wake_at(w, follower.next_read);
         return;
     }
-    auto const &pace = paces.at(static_cast<std::size_t>(table));
+    auto const pace = pace_of(w, table);
     row_read read;
     read.table = table;
     read.whole = follower.whole;
     read.after_key = follower.after_key;
     read.after_version = follower.version;
-    read.wait = follower.whole ? duration(0) : pace.wait;
-    read.timeout = read.wait + read_timeout;
+    bool const failing = follower.failures > 0;
+    read.wait = follower.whole || failing ? duration(0) : pace.hold;
+    read.timeout =
+        failing ? failing_read_timeout : read.wait + store_read_timeout;
     follower.in_flight = true;
     w.out.row_reads.push_back(read);
 }
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -52,6 +52,8 @@
     reader.read("max_descriptors", out.max_descriptors, 64, most_descriptors);
     reader.read_seconds("shutdown_grace_s", out.limits.shutdown_grace);
     reader.finish();
+    reader.read_milliseconds("drain_bound_ms", out.limits.drain_bound);
+    reader.read_milliseconds("reconnect_bound_ms", out.limits.reconnect_bound);
 }
 
 void read_retries(settings_reader &root, relay_settings &out)
