Count on the homes of shared parts in fleets too large to follow caches

At start, before the daemons know each other, each read 320 engines at the pace of a fleet of four.

Change: caches are not read when a daemon's turn would come less than every 3 s, or when it would make more than 40 reads a second; the first two engines in the ranking of a part are taken to hold it.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -1,5 +1,7 @@
 #include "choose_instance.hpp"
 
+#include "follow_caches.hpp"
+#include "predict_pause.hpp"
 #include "world.hpp"
 
 #include <xxhash.h>
@@ -220,11 +222,44 @@
     return best;
 }
 
+/// @return the first home of the shared parts, which is assumed to hold them;
+///         none when the request has none
+prefix_source home_of(relay_state_entry const &request,
+                      std::vector<candidate> const &candidates)
+{
+    if (request.chain.empty())
+    {
+        return {};
+    }
+    auto const first = std::ranges::find(candidates, 0, &candidate::rank);
+    return first == candidates.end()
+               ? prefix_source{}
+               : prefix_source{first->instance, request.chain.back().tokens,
+                               instant{}};
+}
+
+/// Counts the shared parts of a prompt as held where they have their homes.
+void assume_home(world const &w, relay_state_entry const &request,
+                 candidate &item)
+{
+    if (follows_caches(w) || request.chain.empty() ||
+        item.rank >= homes_per_part)
+    {
+        return;
+    }
+    auto &prediction = item.prediction;
+    prediction.time -=
+        copying_time(w, request.service, prediction.copied_tokens);
+    prediction.cached_tokens += prediction.copied_tokens;
+    prediction.copied_tokens = 0;
+}
+
 void set_cost(world &w, relay_state_entry const &request,
               prefix_source const &source, candidate &item)
 {
     item.prediction =
         predict_first_event(w, request, *item.instance, source.tokens);
+    assume_home(w, request, item);
     auto &prediction = item.prediction;
     if (request.kept)
     {
@@ -292,7 +327,9 @@
 {
     auto candidates = candidates_of(w, request);
     rank_candidates(request, candidates);
-    auto const source = find_prefix_source(request, candidates, nullptr);
+    auto const source = follows_caches(w)
+                            ? find_prefix_source(request, candidates, nullptr)
+                            : home_of(request, candidates);
     std::ranges::for_each(candidates, [&](candidate &item)
                           { set_cost(w, request, source, item); });
     auto const handover = least_handover_cost(candidates);
--- a/src/follow_caches.cpp
+++ b/src/follow_caches.cpp
@@ -16,12 +16,28 @@
 /// shared part is used again after some seconds; each read is priced.
 constexpr double reads_per_engine_s = 6;
 
+/// Reads that one daemon makes of all engines' caches in a second.
+constexpr double reads_per_daemon_s = 40;
+
+/// Longest interval between two reads of one engine. The least recently used
+/// parts of a busy engine change within seconds, so that an older view misleads
+/// more than none.
+constexpr duration longest_interval = seconds(3);
+
 /// Time for one read; its reply is of no use later.
 constexpr duration read_timeout = milliseconds(800);
 
 /// Pause after a failed read.
 constexpr duration pause_after_failure = seconds(1);
 
+/// @return time between two reads of one engine's cache
+duration read_interval(world const &w)
+{
+    auto const engines = static_cast<double>(w.relay.instances.all().size());
+    return from_seconds(std::max(w.relay.sharing_daemons() / reads_per_engine_s,
+                                 engines / reads_per_daemon_s));
+}
+
 void log_read(world &w, instance_state const &engine, std::string event,
               cache_read_reply const &reply)
 {
@@ -101,9 +117,8 @@
     read.after_change = feed.last_change;
     read.timeout = read_timeout;
     // Spreads the reads of all engines and daemons over the interval.
-    feed.next_read =
-        w.now + from_seconds(w.relay.sharing_daemons() / reads_per_engine_s *
-                             (0.75 + 0.5 * w.random.uniform()));
+    feed.next_read = w.now + from_seconds(to_seconds(read_interval(w)) *
+                                          (0.75 + 0.5 * w.random.uniform()));
     feed.in_flight = true;
     w.out.cache_reads.push_back(std::move(read));
     wake_at(w, feed.next_read);
@@ -111,11 +126,20 @@
 
 } // namespace
 
+bool follows_caches(world const &w)
+{
+    return read_interval(w) <= longest_interval;
+}
+
 void follow_caches(world &w)
 {
     std::ranges::for_each(w.in.cache_read_replies,
                           [&w](cache_read_reply const &reply)
                           { take_reply(w, reply); });
+    if (!follows_caches(w))
+    {
+        return;
+    }
     for (auto &[id, engine] : w.relay.instances.all())
     {
         if (engine.definition.role != engine_role::mixed)
--- a/src/follow_caches.hpp
+++ b/src/follow_caches.hpp
@@ -12,6 +12,12 @@
 /// because a different daemon sent it there.
 void follow_caches(world &w);
 
+/// @return true while the engines' caches are read. In a fleet where this
+///         daemon's turn to read each engine would come too rarely, shared
+///         parts are assumed to lie at their homes instead; see
+///         `choose_instance`.
+bool follows_caches(world const &w);
+
 } // namespace agateledge
 
 #endif
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -64,7 +64,14 @@
     return most;
 }
 
-/// @return time to copy cached tokens from another engine
+duration reading_time(world const &w, instance_state const &instance,
+                      double tokens)
+{
+    return from_seconds(tokens / prefill_tokens_per_ms(w, instance) / 1e3);
+}
+
+} // namespace
+
 duration copying_time(world const &w, std::string const &service, int tokens)
 {
     auto const *profile = find_service(*w.relay.routing, service);
@@ -77,14 +84,6 @@
     return copy_base + from_seconds(transfer_ms / 1e3);
 }
 
-duration reading_time(world const &w, instance_state const &instance,
-                      double tokens)
-{
-    return from_seconds(tokens / prefill_tokens_per_ms(w, instance) / 1e3);
-}
-
-} // namespace
-
 double prefill_tokens_per_ms(world const &w, instance_state const &instance)
 {
     auto const &definition = instance.definition;
--- a/src/predict_first_event.hpp
+++ b/src/predict_first_event.hpp
@@ -3,6 +3,8 @@
 
 #include "time.hpp"
 
+#include <string>
+
 namespace agateledge
 {
 
@@ -49,6 +51,10 @@
 void learn_first_event(world &w, instance_state &instance, instant sent_at,
                        duration predicted, int unread_tokens, bool alone);
 
+/// @return time to copy cached tokens from another engine of the service; 0
+///         for none
+duration copying_time(world const &w, std::string const &service, int tokens);
+
 /// @return prompt tokens that an idle engine of this kind reads in a
 ///         millisecond
 double prefill_tokens_per_ms(world const &w, instance_state const &instance);
