Let daemons tell each other the load of the engines

Cause: a daemon knew an engine's load from its own calls only, a fifth of it on the first sites and a hundredth on the large one.

Change: datagrams with the unread prompt tokens and open calls by engine; all to all up to 9 daemons, through one hub in each data centre beyond.

Tests: a burst through 30 daemons spreads over idle engines; each daemon learns of work once at 2 to 100 daemons; loss, age, forged and damaged reports.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -292,9 +292,17 @@
 bool is_full(world const &w, instance_state const &instance,
              first_event_prediction const &prediction)
 {
-    return prediction.unread_tokens >= short_prompt_tokens &&
-           static_cast<double>(instance.open_calls.size()) >=
-               std::ceil(requests_at_once / w.relay.sharing_daemons());
+    if (prediction.unread_tokens < short_prompt_tokens)
+    {
+        return false;
+    }
+    auto const own = static_cast<double>(instance.open_calls.size());
+    if (!w.relay.load.heard.empty())
+    {
+        return own + static_cast<double>(instance.others_open_calls) >=
+               requests_at_once;
+    }
+    return own >= std::ceil(requests_at_once / w.relay.sharing_daemons());
 }
 
 /// @return address of the engine that the chosen one copies shared parts from
--- a/src/daemon_loop.cpp
+++ b/src/daemon_loop.cpp
@@ -129,6 +129,7 @@
     each(out.cache_reads, handlers.read_cache);
     each(out.row_reads, handlers.read_rows);
     each(out.daemon_row_writes, handlers.write_daemon_row);
+    each(out.peer_load_reports, handlers.send_peer_load);
     if (out.stop_ready && handlers.stop)
     {
         handlers.stop();
--- a/src/daemon_loop.hpp
+++ b/src/daemon_loop.hpp
@@ -32,6 +32,7 @@
     std::function<void(cache_read const &)> read_cache;
     std::function<void(row_read const &)> read_rows;
     std::function<void(daemon_row_write const &)> write_daemon_row;
+    std::function<void(peer_load_send const &)> send_peer_load;
     /// Runs after all replies of a tick, so that they can be sent together.
     std::function<void()> flush_replies;
     std::function<void()> stop;
--- a/src/follow_directory.cpp
+++ b/src/follow_directory.cpp
@@ -184,12 +184,14 @@
             w.relay.daemons.erase(row.name);
             continue;
         }
-        auto const [place, added] =
-            w.relay.daemons.insert_or_assign(row.name, w.now);
+        auto const [place, added] = w.relay.daemons.insert_or_assign(
+            row.name, daemon_peer{w.now, row.peer_address, row.data_centre});
         if (added)
         {
             log_relay(w, log_level::info, "daemon_seen",
                       {{"peer", row.name},
+                       {"address", row.peer_address},
+                       {"data_centre", row.data_centre},
                        {"row_version", std::to_string(row.row_version)}});
         }
     }
@@ -233,9 +235,9 @@
 
 void drop_silent_daemons(world &w)
 {
+    auto const lifetime = daemon_row_lifetime(w.relay);
     std::erase_if(w.relay.daemons,
                   [&w, lifetime](auto const &item)
-    auto const lifetime = daemon_row_lifetime(w.relay);
                   {
                       bool const silent =
                           w.relay.store.reachable &&
--- a/src/follow_store.cpp
+++ b/src/follow_store.cpp
@@ -162,8 +162,10 @@
     }
     if (relay.next_daemon_row <= w.now)
     {
-        relay.next_daemon_row = w.now + daemon_row_interval;
-        w.out.daemon_row_writes.push_back({w.identity.name, false});
+        relay.next_daemon_row = w.now + daemon_row_interval(relay);
+        w.out.daemon_row_writes.push_back({w.identity.name, false,
+                                           relay.peer_address,
+                                           w.identity.data_centre});
     }
     wake_at(w, relay.next_daemon_row);
 }
--- a/src/inbox.hpp
+++ b/src/inbox.hpp
@@ -5,6 +5,7 @@
 #include "engine_order.hpp"
 #include "heartbeat.hpp"
 #include "ids.hpp"
+#include "peer_load_report.hpp"
 #include "relay_messages.hpp"
 #include "row_messages.hpp"
 #include "shared_text.hpp"
@@ -224,6 +225,7 @@
     std::vector<prefill_result> prefill_results;
     std::vector<cache_read_reply> cache_read_replies;
     std::vector<row_read_reply> row_read_replies;
+    std::vector<peer_load_report> peer_load_reports;
     bool shutdown = false;
 };
 
--- a/src/instance_table.cpp
+++ b/src/instance_table.cpp
@@ -1,5 +1,7 @@
 #include "instance_table.hpp"
 
+#include "exchange_loads.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -60,6 +62,7 @@
     state.address_taken = false;
     if (added)
     {
+        state.load_key = load_key_of(definition);
         auto &others = by_service_[definition.service];
         others.insert(
             std::ranges::lower_bound(others, definition.id, {}, id_of), &state);
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -6,6 +6,7 @@
 #include "prompt_cache_view.hpp"
 #include "time.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -76,18 +77,23 @@
     std::unordered_set<attempt_number> open_calls;
     /// Prompt tokens of open calls that the engine has yet to read.
     std::int64_t unread_tokens = 0;
+    /// The engine's key in load reports; see `load_key_of`.
+    std::uint64_t load_key = 0;
+    /// The same of other daemons' calls, as they last reported.
+    std::int64_t others_unread_tokens = 0;
+    std::size_t others_open_calls = 0;
     /// Time by which replies came later than predicted, smoothed.
     duration delay{};
     instant delay_seen_at{};
+    /// Pauses between the events of its streams, smoothed.
+    duration pause{};
+    instant pause_seen_at{};
     prompt_cache_view cache;
     cache_feed_state cache_feed;
 };
 
 /// Instances of the directory by id.
 class instance_table
-    /// Pauses between the events of its streams, smoothed.
-    duration pause{};
-    instant pause_seen_at{};
 {
 public:
     /// @return the instance, or null when it is not listed
--- a/src/outbox.hpp
+++ b/src/outbox.hpp
@@ -3,6 +3,7 @@
 
 #include "cache_messages.hpp"
 #include "inbox.hpp"
+#include "peer_load_report.hpp"
 #include "result_code.hpp"
 
 #include <string>
@@ -160,6 +161,7 @@
     std::vector<cache_read> cache_reads;
     std::vector<row_read> row_reads;
     std::vector<daemon_row_write> daemon_row_writes;
+    std::vector<peer_load_send> peer_load_reports;
     /// True once a shutdown has finished and the process may exit.
     bool stop_ready = false;
 };
--- /dev/null
+++ b/src/peer_load_codec.cpp
@@ -0,0 +1,106 @@
+#include "peer_load_codec.hpp"
+
+#include "peer_load_report.hpp"
+
+#include <glib.h>
+
+#include <memory>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Version of the format, scope, sender, data centre, incarnation, sequence,
+/// and the loads as (engine, unread tokens, open calls).
+constexpr char const *format = "(yysstta(tuu))";
+
+/// Changes with each change of `format`; daemons of two versions run side by
+/// side during a release and ignore each other's reports.
+constexpr guchar format_version = 1;
+
+/// Largest prompt work of one engine that is believed: more than its KV cache
+/// holds. A larger figure is damage.
+constexpr guint32 most_unread_tokens = 20'000'000;
+
+struct variant_unref
+{
+    void operator()(GVariant *variant) const { g_variant_unref(variant); }
+};
+
+using variant_ptr = std::unique_ptr<GVariant, variant_unref>;
+
+variant_ptr variant_of(std::string_view bytes)
+{
+    // Copied, because GVariant wants aligned data.
+    GBytes *copy = g_bytes_new(bytes.data(), bytes.size());
+    variant_ptr out(g_variant_ref_sink(
+        g_variant_new_from_bytes(G_VARIANT_TYPE(format), copy, FALSE)));
+    g_bytes_unref(copy);
+    return out;
+}
+
+bool is_scope(guchar value)
+{
+    return value <= static_cast<guchar>(load_scope::fleet);
+}
+
+} // namespace
+
+std::string encode_peer_load(peer_load_report const &report)
+{
+    GVariantBuilder loads;
+    g_variant_builder_init(&loads, G_VARIANT_TYPE("a(tuu)"));
+    for (auto const &load : report.loads)
+    {
+        g_variant_builder_add(&loads, "(tuu)", guint64{load.engine},
+                              guint32{load.unread_tokens},
+                              guint32{load.open_calls});
+    }
+    variant_ptr const variant(g_variant_ref_sink(g_variant_new(
+        format, format_version, static_cast<guchar>(report.scope),
+        report.sender.c_str(), report.data_centre.c_str(),
+        guint64{report.incarnation}, guint64{report.sequence}, &loads)));
+    return {static_cast<char const *>(g_variant_get_data(variant.get())),
+            g_variant_get_size(variant.get())};
+}
+
+std::optional<peer_load_report> decode_peer_load(std::string_view bytes)
+{
+    auto const variant = variant_of(bytes);
+    if (g_variant_is_normal_form(variant.get()) == FALSE)
+    {
+        return std::nullopt;
+    }
+    guchar version = 0;
+    guchar scope = 0;
+    char const *sender = nullptr;
+    char const *data_centre = nullptr;
+    guint64 incarnation = 0;
+    guint64 sequence = 0;
+    GVariantIter *loads = nullptr;
+    g_variant_get(variant.get(), "(yy&s&stta(tuu))", &version, &scope, &sender,
+                  &data_centre, &incarnation, &sequence, &loads);
+    peer_load_report out{sender, data_centre, incarnation, sequence, {}, {}};
+    bool sound = version == format_version && is_scope(scope);
+    guint64 engine = 0;
+    guint32 unread = 0;
+    guint32 calls = 0;
+    while (sound &&
+           g_variant_iter_next(loads, "(tuu)", &engine, &unread, &calls) != 0)
+    {
+        sound = unread <= most_unread_tokens;
+        out.loads.push_back({engine, unread, calls});
+    }
+    g_variant_iter_free(loads);
+    if (!sound)
+    {
+        return std::nullopt;
+    }
+    out.scope = static_cast<load_scope>(scope);
+    return out;
+}
+
+} // namespace agateledge
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -118,7 +118,9 @@
     out.unread_tokens =
         std::max(tokens - out.cached_tokens - out.copied_tokens, 1);
     out.wait +=
-        reading_time(w, instance, static_cast<double>(instance.unread_tokens));
+        reading_time(w, instance,
+                     static_cast<double>(instance.unread_tokens +
+                                         instance.others_unread_tokens));
     out.time = out.wait + engine_base +
                copying_time(w, request.service, out.copied_tokens) +
                reading_time(w, instance, out.unread_tokens);
--- a/src/relay_metrics.hpp
+++ b/src/relay_metrics.hpp
@@ -29,6 +29,8 @@
     counter_map cache_reads;
     /// Calls to the store by result.
     counter_map store_calls;
+    /// Load reports of other daemons by what became of them.
+    counter_map load_reports;
     std::uint64_t retries = 0;
     std::uint64_t retries_denied = 0;
     std::uint64_t resumed_streams = 0;
--- a/src/relay_process.cpp
+++ b/src/relay_process.cpp
@@ -2,6 +2,7 @@
 
 #include "http_exchange.hpp"
 #include "json_log.hpp"
+#include "peer_load_codec.hpp"
 #include "relay_metrics_text.hpp"
 #include "settings_reader.hpp"
 
@@ -62,6 +63,7 @@
 {
     state_.relay.enabled = true;
     state_.relay.limits = config_.limits;
+    state_.relay.peer_address = config_.peer_address;
     install_handlers();
 }
 
@@ -100,6 +102,10 @@
     handlers.read_rows = [this](row_read const &read) { rows_.read(read); };
     handlers.write_daemon_row = [this](daemon_row_write const &write)
     { rows_.write(write); };
+    handlers.send_peer_load = [this](peer_load_send const &send)
+    { send_peer_load(send); };
+    peers_.on_datagram = [this](std::string_view bytes)
+    { take_peer_load(bytes); };
     handlers.stop = [this] { stop_ready_ = true; };
     callers_.on_hold = [this](request_number request, bool hold)
     { instances_.hold(request, hold); };
@@ -120,6 +126,10 @@
     auto status = callers_.start(config_.caller_address);
     status.Update(readiness_.listen(config_.readiness_address));
     status.Update(metrics_.listen(config_.metrics_address));
+    if (!config_.peer_address.empty())
+    {
+        status.Update(peers_.open(config_.peer_address));
+    }
     if (!status.ok())
     {
         return status;
@@ -190,6 +200,27 @@
     loop_.input();
 }
 
+void relay_process::send_peer_load(peer_load_send const &send)
+{
+    auto const bytes = encode_peer_load(*send.report);
+    auto const failed = std::ranges::count_if(
+        send.to, [this, &bytes](std::string const &address)
+        { return !peers_.send(address, bytes); });
+    state_.relay.metrics.load_reports["not_sent"] +=
+        static_cast<std::uint64_t>(failed);
+}
+
+void relay_process::take_peer_load(std::string_view bytes)
+{
+    auto report = decode_peer_load(bytes);
+    if (!report)
+    {
+        ++state_.relay.metrics.load_reports["unreadable"];
+        return;
+    }
+    loop_.input().peer_load_reports.push_back(*std::move(report));
+}
+
 void relay_process::shut_down()
 {
     if (shutdown_.begun())
--- a/src/relay_process.hpp
+++ b/src/relay_process.hpp
@@ -3,6 +3,7 @@
 
 #include "cache_reader.hpp"
 #include "daemon_loop.hpp"
+#include "datagram_socket.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
 #include "ids.hpp"
@@ -65,6 +66,8 @@
     void apply(relay_settings const &config);
     void check_file();
     std::optional<std::string> read_settings_file_text() const;
+    void send_peer_load(peer_load_send const &send);
+    void take_peer_load(std::string_view bytes);
     void log(log_level level, std::string event,
              std::vector<std::pair<std::string, std::string>> fields);
 
@@ -80,6 +83,7 @@
     instance_client instances_;
     cache_reader caches_;
     row_client rows_;
+    datagram_socket peers_;
     http_server readiness_;
     http_server metrics_;
     shutdown_wait shutdown_;
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -25,6 +25,7 @@
     reader.read_address("readiness", out.readiness_address, true);
     reader.read_address("metrics", out.metrics_address, true);
     reader.read("metrics_path", out.metrics_path);
+    reader.read_address("peers", out.peer_address);
     reader.finish();
 }
 
@@ -51,9 +52,9 @@
     auto reader = root.below(*table, "limits");
     reader.read("max_descriptors", out.max_descriptors, 64, most_descriptors);
     reader.read_seconds("shutdown_grace_s", out.limits.shutdown_grace);
-    reader.finish();
     reader.read_milliseconds("drain_bound_ms", out.limits.drain_bound);
     reader.read_milliseconds("reconnect_bound_ms", out.limits.reconnect_bound);
+    reader.finish();
 }
 
 void read_retries(settings_reader &root, relay_settings &out)
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -22,6 +22,8 @@
     std::string readiness_address;
     std::string metrics_address;
     std::string metrics_path = "/metrics";
+    /// Where reports of other daemons are received; empty for none.
+    std::string peer_address;
     /// IP address and port of the platform's store.
     std::string store_address;
     /// Descriptors that the process may open.
--- a/src/relay_state.hpp
+++ b/src/relay_state.hpp
@@ -4,6 +4,7 @@
 #include "due_queue.hpp"
 #include "ids.hpp"
 #include "instance_table.hpp"
+#include "load_exchange.hpp"
 #include "relay_limits.hpp"
 #include "relay_metrics.hpp"
 #include "relay_table.hpp"
@@ -19,8 +20,8 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 #include <utility>
+#include <vector>
 
 namespace agateledge
 {
@@ -57,6 +58,16 @@
     instant restored_at{};
 };
 
+/// Daemon of the fleet, from its row.
+struct daemon_peer
+{
+    /// Time at which the row last changed.
+    instant seen_at{};
+    /// Where it receives reports; empty when not told.
+    std::string address;
+    std::string data_centre;
+};
+
 /// Daemons that are assumed to be live at least: rows of daemons that started
 /// moments ago may not have been read.
 constexpr double fewest_counted_daemons = 4;
@@ -70,6 +81,8 @@
     relay_limits limits;
     std::shared_ptr<routing_configuration const> routing =
         std::make_shared<routing_configuration const>();
+    /// By service; derived from `routing` by `put_routing`.
+    std::map<std::string, duration> pause_bounds;
     instance_table instances;
     /// Instances that the pages of the present whole read returned.
     std::vector<std::string> listed;
@@ -80,10 +93,11 @@
     std::map<std::string, shared_retry_budget> budgets;
     std::array<table_follower, followed_table_count> followers;
     store_condition store;
-    /// Other daemons by name, with the time at which their row last changed.
-    /// By service; derived from `routing` by `put_routing`.
-    std::map<std::string, duration> pause_bounds;
-    std::map<std::string, instant> daemons;
+    /// Daemons by name, with this one once its row has been read.
+    std::map<std::string, daemon_peer> daemons;
+    load_exchange load;
+    /// Where this daemon receives reports of others.
+    std::string peer_address;
     instant next_daemon_row{};
     /// Time from which the health of instances is compared again.
     instant next_judgement{};
@@ -95,6 +109,13 @@
     /// Last time at which a request was open, while stopping.
     instant last_open{};
 
+    /// Puts a configuration in force.
+    void put_routing(std::shared_ptr<routing_configuration const> next)
+    {
+        routing = std::move(next);
+        pause_bounds = pause_bounds_of(*routing);
+    }
+
     /// @return daemons among which the bounds of the deployment are divided
     double sharing_daemons() const
     {
@@ -106,10 +127,3 @@
 } // namespace agateledge
 
 #endif
-    /// Puts a configuration in force.
-    void put_routing(std::shared_ptr<routing_configuration const> next)
-    {
-        routing = std::move(next);
-        pause_bounds = pause_bounds_of(*routing);
-    }
-
--- a/src/rendezvous_rank.cpp
+++ b/src/rendezvous_rank.cpp
@@ -10,10 +10,7 @@
 namespace agateledge
 {
 
-namespace
-{
-
-std::uint64_t weight(std::string_view duty, std::string const &daemon)
+std::uint64_t rendezvous_weight(std::string_view duty, std::string_view daemon)
 {
     std::string text(duty);
     text += '\n';
@@ -21,11 +18,9 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
-} // namespace
-
 std::size_t rendezvous_rank(world const &w, std::string_view duty)
 {
-    auto const own = weight(duty, w.identity.name);
+    auto const own = rendezvous_weight(duty, w.identity.name);
     auto const higher = std::ranges::count_if(
         w.peers.states,
         [&](auto const &item)
@@ -33,7 +28,7 @@
             auto const &peer = item.second;
             return peer.data_centre == w.identity.data_centre &&
                    peer.condition == peer_condition::live &&
-                   weight(duty, peer.name) > own;
+                   rendezvous_weight(duty, peer.name) > own;
         });
     return static_cast<std::size_t>(higher);
 }
--- a/src/rendezvous_rank.hpp
+++ b/src/rendezvous_rank.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_RENDEZVOUS_RANK_HPP
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace agateledge
@@ -9,6 +10,9 @@
 
 struct world;
 
+/// @return weight of a daemon for a duty; the highest one has it
+std::uint64_t rendezvous_weight(std::string_view duty, std::string_view daemon);
+
 /// Ranks the live daemons of this daemon's data centre for one duty by
 /// rendezvous hashing, so that daemons agree on the order without messages and
 /// a change of membership moves few duties.
--- a/src/row_messages.hpp
+++ b/src/row_messages.hpp
@@ -75,6 +75,9 @@
     std::string name;
     std::uint64_t row_version = 0;
     bool removed = false;
+    /// IP address and port for reports of other daemons; empty when not told.
+    std::string peer_address;
+    std::string data_centre;
 };
 
 /// Reply to a `row_read`.
@@ -103,6 +106,8 @@
 {
     std::string name;
     bool remove = false;
+    std::string peer_address;
+    std::string data_centre;
 };
 
 } // namespace agateledge
--- a/src/stop_relays.cpp
+++ b/src/stop_relays.cpp
@@ -46,7 +46,7 @@
     {
         relay.stopping_since = w.now;
         relay.last_open = w.now;
-        w.out.daemon_row_writes.push_back({w.identity.name, true});
+        w.out.daemon_row_writes.push_back({w.identity.name, true, {}, {}});
         log_relay(w, log_level::info, "stop_begun",
                   {{"open_requests", std::to_string(relay.requests.size())}});
     }
--- a/src/tick_relays.cpp
+++ b/src/tick_relays.cpp
@@ -2,6 +2,7 @@
 
 #include "admit_relays.hpp"
 #include "advance_relays.hpp"
+#include "exchange_loads.hpp"
 #include "expire_relays.hpp"
 #include "follow_caches.hpp"
 #include "follow_directory.hpp"
@@ -17,6 +18,7 @@
 {
     follow_store(w);
     follow_directory(w);
+    exchange_loads(w);
     advance_relays(w);
     judge_instances(w);
     follow_caches(w);
--- /dev/null
+++ b/test/correctness/relay_load_test.cpp
@@ -0,0 +1,267 @@
+// Guards against long prompts that queue at one engine while its neighbours are
+// idle, because each daemon of a fleet knows its own calls only; and against
+// reports that are lost, late, forged or damaged.
+#include "exchange_loads.hpp"
+#include "peer_load_codec.hpp"
+#include "relay_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace agateledge;
+
+constexpr int shared_tokens = 13300;
+constexpr int own_tokens = 3700;
+
+/// Daemons of several data centres whose reports reach each other.
+class played_fleet
+{
+public:
+    played_fleet(int daemons, int data_centres, int engines)
+    {
+        for (int i = 0; i < daemons; ++i)
+        {
+            auto daemon = std::make_unique<relay_fixture>();
+            auto &identity = daemon->state.identity;
+            identity.name = "edge-" + std::to_string(i);
+            identity.data_centre = "zone-" + std::to_string(i % data_centres);
+            daemon->list_engines(engines, engine_role::decode);
+            by_address_["address-" + identity.name] = daemon.get();
+            members.push_back(std::move(daemon));
+        }
+        for (auto &daemon : members)
+        {
+            for (auto const &peer : members)
+            {
+                auto const &identity = peer->state.identity;
+                daemon->state.relay.daemons[identity.name] = {
+                    daemon->state.now + hours(1), "address-" + identity.name,
+                    identity.data_centre};
+            }
+        }
+    }
+
+    /// Plays all daemons; reports arrive with the next step, or are lost.
+    void play(duration time)
+    {
+        for (duration done{}; done < time; done += milliseconds(10))
+        {
+            std::vector<peer_load_send> sent;
+            for (auto &daemon : members)
+            {
+                auto out = daemon->advance(milliseconds(10));
+                std::ranges::move(out.relay_calls, std::back_inserter(calls));
+                std::ranges::move(out.peer_load_reports,
+                                  std::back_inserter(sent));
+            }
+            deliver(sent);
+        }
+    }
+
+    double lost_share = 0;
+    std::map<std::string, std::size_t> delivered_to;
+    std::vector<relay_call> calls;
+    std::vector<std::unique_ptr<relay_fixture>> members;
+
+private:
+    void deliver(std::vector<peer_load_send> const &sent)
+    {
+        for (auto const &item : sent)
+        {
+            auto const report =
+                decode_peer_load(encode_peer_load(*item.report));
+            ASSERT_EQ(report, *item.report);
+            for (auto const &address : item.to)
+            {
+                if (random_.uniform() < lost_share)
+                {
+                    continue;
+                }
+                ++delivered_to[address];
+                by_address_.at(address)->state.in.peer_load_reports.push_back(
+                    *report);
+            }
+        }
+    }
+
+    std::map<std::string, relay_fixture *> by_address_;
+    random_source random_{1};
+};
+
+/// @return the most prompts that one engine was given
+std::size_t most_at_one_engine(std::vector<relay_call> const &calls)
+{
+    std::map<std::string, std::size_t> counts;
+    std::ranges::for_each(calls, [&counts](relay_call const &call)
+                          { ++counts[call.instance]; });
+    return std::ranges::max_element(
+               counts, {}, [](auto const &item) { return item.second; })
+        ->second;
+}
+
+// One popular shared part enters by 30 daemons. Known to each daemon alone, its
+// engine takes all of them; 12 engines can read 60 prompts at the same time.
+TEST(relay_load, a_burst_through_many_daemons_spreads_over_idle_engines)
+{
+    played_fleet fleet(30, 3, 12);
+    fleet.play(milliseconds(500));
+    for (int round = 0; round < 2; ++round)
+    {
+        for (auto &daemon : fleet.members)
+        {
+            daemon->send("/once/1", 7, shared_tokens, own_tokens);
+            fleet.play(milliseconds(20));
+        }
+    }
+    fleet.play(seconds(1));
+    ASSERT_GE(fleet.calls.size(), 55U);
+    EXPECT_LE(most_at_one_engine(fleet.calls), 15U);
+}
+
+/// @return prompt tokens of other daemons that each member knows of at an
+///         engine
+std::vector<std::int64_t> known_work(played_fleet const &fleet,
+                                     std::string const &engine)
+{
+    std::vector<std::int64_t> out;
+    std::ranges::transform(fleet.members, std::back_inserter(out),
+                           [&engine](auto const &daemon) {
+                               return daemon->state.relay.instances
+                                   .find(engine)
+                                   ->others_unread_tokens;
+                           });
+    return out;
+}
+
+void give_work(relay_fixture &daemon, std::string const &engine)
+{
+    auto &instance = *daemon.state.relay.instances.find(engine);
+    instance.open_calls.insert(attempt_number(999));
+    instance.unread_tokens = 5000;
+}
+
+TEST(relay_load, every_daemon_learns_of_work_once_at_any_fleet_size)
+{
+    for (int const size : {2, 5, 9, 10, 30, 100})
+    {
+        played_fleet fleet(size, std::min(size, 4), 3);
+        fleet.play(milliseconds(500));
+        give_work(*fleet.members.front(), "decode-2");
+        fleet.play(milliseconds(1000));
+        auto const known = known_work(fleet, "decode-2");
+        EXPECT_EQ(known.front(), 0) << size;
+        EXPECT_EQ(std::ranges::count(known, 5000), size - 1) << size;
+    }
+}
+
+TEST(relay_load, lost_reports_are_replaced_by_the_next_ones)
+{
+    played_fleet fleet(30, 3, 3);
+    fleet.lost_share = 0.2;
+    fleet.play(milliseconds(500));
+    give_work(*fleet.members.front(), "decode-2");
+    fleet.play(seconds(2));
+    auto const known = known_work(fleet, "decode-2");
+    EXPECT_EQ(std::ranges::count(known, 5000), 29);
+}
+
+// What a daemon receives must not grow with the fleet; a hub hears the daemons
+// of its own data centre.
+TEST(relay_load, few_reports_reach_a_daemon_of_a_large_fleet)
+{
+    played_fleet fleet(100, 5, 3);
+    fleet.play(seconds(2));
+    std::size_t hubs = 0;
+    for (auto const &[address, count] : fleet.delivered_to)
+    {
+        hubs += count > 25 ? 1 : 0;
+        EXPECT_LE(count, 30U * 2 * 10) << address;
+    }
+    EXPECT_LE(hubs, 5U);
+}
+
+TEST(relay_load, the_work_of_a_silent_daemon_is_forgotten)
+{
+    played_fleet fleet(3, 1, 3);
+    fleet.play(milliseconds(500));
+    give_work(*fleet.members.front(), "decode-2");
+    fleet.play(milliseconds(500));
+    ASSERT_EQ(known_work(fleet, "decode-2").back(), 5000);
+    auto &last = *fleet.members.back();
+    last.advance(milliseconds(1500));
+    EXPECT_EQ(last.state.relay.instances.find("decode-2")->others_unread_tokens,
+              0);
+}
+
+TEST(relay_load, a_restarted_engine_has_no_work_of_its_former_self)
+{
+    played_fleet fleet(2, 1, 3);
+    fleet.play(milliseconds(500));
+    give_work(*fleet.members.front(), "decode-2");
+    auto &other = *fleet.members.back();
+    auto restarted = other.state.relay.instances.find("decode-2")->definition;
+    restarted.started_at_ms = 7;
+    other.list(restarted);
+    fleet.play(milliseconds(500));
+    EXPECT_EQ(
+        other.state.relay.instances.find("decode-2")->others_unread_tokens, 0);
+}
+
+peer_load_report report_of(std::string const &sender, std::uint64_t sequence,
+                           std::uint32_t tokens)
+{
+    peer_load_report report;
+    report.sender = sender;
+    report.data_centre = "zone-0";
+    report.incarnation = 1;
+    report.sequence = sequence;
+    instance_definition engine;
+    engine.id = "decode-1";
+    report.loads = {{load_key_of(engine), tokens, 1}};
+    return report;
+}
+
+std::int64_t known_after(relay_fixture &daemon, peer_load_report const &report)
+{
+    daemon.state.in.peer_load_reports.push_back(report);
+    daemon.advance(milliseconds(60));
+    return daemon.state.relay.instances.find("decode-1")->others_unread_tokens;
+}
+
+TEST(relay_load, old_and_unknown_reports_are_dropped)
+{
+    played_fleet fleet(2, 1, 3);
+    auto &daemon = *fleet.members.back();
+    EXPECT_EQ(known_after(daemon, report_of("edge-0", 8, 600)), 600);
+    EXPECT_EQ(known_after(daemon, report_of("edge-0", 7, 100)), 600);
+    EXPECT_EQ(known_after(daemon, report_of("stranger", 9, 100)), 600);
+    EXPECT_EQ(known_after(daemon, report_of("edge-0", 9, 200)), 200);
+}
+
+TEST(relay_load, damaged_datagrams_are_no_reports)
+{
+    auto const bytes = encode_peer_load(report_of("edge-0", 8, 600));
+    random_source random(1);
+    for (int i = 0; i < 20000; ++i)
+    {
+        auto damaged = bytes.substr(0, random.below(bytes.size() + 1));
+        for (int flips = 0; flips < 3 && !damaged.empty(); ++flips)
+        {
+            damaged[random.below(damaged.size())] =
+                static_cast<char>(random.below(256));
+        }
+        auto const report = decode_peer_load(damaged);
+        EXPECT_TRUE(!report || report->loads.size() <= bytes.size());
+    }
+    EXPECT_FALSE(decode_peer_load(""));
+}
+
+} // namespace
