Refuse a stream that would begin after its caller leaves

Change: a stream must begin by then, else it is refused at once as not run, with the time to come back. Test: a stream that would begin after its caller is refused; it fails with the deadline as the bound.

--- a/src/admit_relays.cpp
+++ b/src/admit_relays.cpp
@@ -89,6 +89,12 @@
         arrival.arrived_at +
         std::min(arrival.content->patience.value_or(route.timeout),
                  route.timeout);
+    request.begin_by = request.expires_at;
+    if (route.kind == route_kind::streaming)
+    {
+        request.begin_by = std::min(
+            request.begin_by, arrival.arrived_at + route.stream_patience());
+    }
     request.service = choose_service(w, route);
     if (arrival.content->prompt)
     {
--- a/src/place_relays.cpp
+++ b/src/place_relays.cpp
@@ -149,7 +149,7 @@
         fail_relay(w, number, "no instance of the service takes work");
         return;
     }
-    auto const left = request.expires_at - w.now;
+    auto const left = request.begin_by - w.now;
     auto const needed = choice->prediction.time +
                         queue_time(w, request.service, *choice, queued);
     if (request.runs == 0 && needed > left)
@@ -157,7 +157,7 @@
         auto const excess = needed - left;
         refuse_relay(
             w, number, result_code::deadline_unreachable,
-            "the earliest first event is predicted after the deadline",
+            "the earliest first event is predicted after the caller leaves",
             spread_retry_after(w, std::max(excess * 2, shortest_retry_after)));
         return;
     }
--- a/src/relay_table.hpp
+++ b/src/relay_table.hpp
@@ -38,6 +38,9 @@
     instant arrived_at{};
     /// End of the caller's patience or of the route's timeout.
     instant expires_at{};
+    /// Time by which the answer must begin: the caller leaves a silent stream
+    /// before its patience ends.
+    instant begin_by{};
     std::optional<attempt_number> attempt;
     /// Instances that the request was sent to, in order.
     std::vector<std::string> tried;
@@ -61,13 +64,13 @@
     std::string body;
     std::optional<instant> first_sent_at;
     std::optional<instant> first_event_at;
-    /// Lines on the decisions so far, written when the request fails or is
-    /// late.
-    std::vector<log_entry> trail;
     /// Arrival of the last events of a stream, and the longest time between
     /// two such arrivals.
     instant last_event_at{};
     duration longest_pause{};
+    /// Lines on the decisions so far, written when the request fails or is
+    /// late.
+    std::vector<log_entry> trail;
 };
 
 /// Open call to an instance.
--- a/src/route_definition.hpp
+++ b/src/route_definition.hpp
@@ -62,6 +62,9 @@
                (kind == route_kind::streaming && resumable);
     }
 
+    /// @return time after which a caller leaves a stream without an event
+    duration stream_patience() const;
+
     auto operator<=>(route_definition const &) const = default;
 };
 
--- a/src/routing_configuration.cpp
+++ b/src/routing_configuration.cpp
@@ -5,6 +5,25 @@
 namespace agateledge
 {
 
+namespace
+{
+
+/// Callers leave a stream after the longest of these without an event: a fixed
+/// time, and multiples of the target of the first event and of the bound on
+/// pauses.
+constexpr duration shortest_patience = seconds(2);
+constexpr int targets_of_patience = 4;
+constexpr int pauses_of_patience = 8;
+
+} // namespace
+
+duration route_definition::stream_patience() const
+{
+    return std::max({duration(shortest_patience),
+                     targets_of_patience * target_latency,
+                     pauses_of_patience * target_pause.value_or(duration(0))});
+}
+
 route_definition const *find_route(routing_configuration const &config,
                                    std::string_view host, std::string_view path)
 {
@@ -29,7 +48,6 @@
     return found == config.services.end() ? nullptr : &*found;
 }
 
-} // namespace agateledge
 std::map<std::string, duration>
 pause_bounds_of(routing_configuration const &config)
 {
@@ -50,3 +68,4 @@
     return out;
 }
 
+} // namespace agateledge
--- a/test/correctness/relay_placement_test.cpp
+++ b/test/correctness/relay_placement_test.cpp
@@ -7,8 +7,10 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -148,4 +150,170 @@
     EXPECT_LE(late_calls, 6);
 }
 
+/// Bounds the pauses of the streams of `models`.
+void bound_pauses(relay_fixture &daemon, duration bound)
+{
+    auto routing = *daemon.state.relay.routing;
+    for (auto &route : routing.routes)
+    {
+        route.target_pause = bound;
+    }
+    routing.services.front().tokens_per_event = 7;
+    daemon.state.relay.put_routing(
+        std::make_shared<routing_configuration const>(routing));
+}
+
+/// Sends a short prompt.
+relay_call send_short(relay_fixture &daemon, std::uint64_t part)
+{
+    daemon.send("/once/1", part, 90, 290);
+    auto const out = daemon.advance(milliseconds(1));
+    EXPECT_EQ(out.relay_calls.size(), 1U);
+    return out.relay_calls.empty() ? relay_call{} : out.relay_calls.front();
+}
+
+void next_event(relay_fixture &daemon, attempt_number stream, int event)
+{
+    daemon.reply_bytes(stream,
+                       "id: " + std::to_string(event) + "\ndata: a\n\n");
+}
+
+/// Answers a call, and the one that follows a prompt that was read apart.
+void answer_whole(relay_fixture &daemon, relay_call call)
+{
+    if (call.stage == relay_stage::prefill)
+    {
+        daemon.state.in.prefill_results.push_back({call.attempt, "handle"});
+        call = daemon.advance(milliseconds(1)).relay_calls.at(0);
+    }
+    daemon.reply_head(call.attempt, 200);
+    next_event(daemon, call.attempt, 1);
+    daemon.reply_ends(call.attempt, relay_event_kind::finished);
+    daemon.advance(milliseconds(1));
+}
+
+/// Opens streams at all engines in decode role, whose events come with pauses,
+/// and sends short prompts meanwhile.
+///
+/// @return part of these prompts that engines in prefill role read
+double part_read_apart(duration pause, duration bound)
+{
+    relay_fixture daemon;
+    daemon.list_engines(7, engine_role::decode);
+    std::vector<attempt_number> streams;
+    std::set<std::string> engines;
+    for (std::uint64_t part = 1; engines.size() < 7; ++part)
+    {
+        auto const call = send_short(daemon, part);
+        engines.insert(call.instance);
+        streams.push_back(call.attempt);
+        daemon.reply_head(streams.back(), 200);
+        next_event(daemon, streams.back(), 1);
+    }
+    daemon.list_engines(5, engine_role::prefill);
+    bound_pauses(daemon, bound);
+    int apart = 0;
+    for (int event = 2; event < 12; ++event)
+    {
+        daemon.advance(pause);
+        std::ranges::for_each(streams, [&](attempt_number stream)
+                              { next_event(daemon, stream, event); });
+        daemon.advance(milliseconds(1));
+        for (int i = 0; i < 4; ++i)
+        {
+            auto const call = send_short(daemon, 99);
+            apart += call.stage == relay_stage::prefill ? 1 : 0;
+            answer_whole(daemon, call);
+        }
+    }
+    return apart / 40.0;
+}
+
+// The load of further/apcm-retornos: bursts of short prompts fill the steps of
+// the decode engines, whose streams then pause for 240 ms and are all late.
+TEST(relay_placement, short_prompts_are_read_apart_where_streams_pause)
+{
+    EXPECT_GE(part_read_apart(milliseconds(240), milliseconds(150)), 0.9);
+    EXPECT_EQ(part_read_apart(milliseconds(40), milliseconds(150)), 0);
+    EXPECT_EQ(part_read_apart(milliseconds(240), seconds(4)), 0);
+}
+
+// Waiting for the whole deadline holds a caller who has left long before it.
+TEST(relay_placement, a_stream_is_refused_when_it_would_begin_after_its_caller)
+{
+    relay_fixture daemon;
+    daemon.list_engines(1, engine_role::decode);
+    daemon.state.relay.instances.find("decode-1")->unread_tokens = 110000;
+    daemon.send("/once/1", 1, 0, own_tokens);
+    auto const out = daemon.advance(milliseconds(10));
+    ASSERT_EQ(out.relay_answers.size(), 1U);
+    EXPECT_EQ(out.relay_answers.front().code,
+              result_code::deadline_unreachable);
+    EXPECT_TRUE(out.relay_answers.front().retry_after.has_value());
+}
+
+/// Adds daemons, so that this one's turn to read a cache comes rarely.
+void join_large_fleet(relay_fixture &daemon)
+{
+    for (int i = 0; i < 30; ++i)
+    {
+        daemon.state.relay.daemons["edge-" + std::to_string(i)] = {
+            daemon.state.now + hours(1), {}, "zone-a"};
+    }
+}
+
+// The load of the grown and large deployments: a daemon sees few requests for
+// each shared part, and its view of a cache would be older than the part's life
+// there.
+TEST(relay_placement, a_daemon_of_a_large_fleet_counts_on_the_homes_of_parts)
+{
+    relay_fixture daemon;
+    join_large_fleet(daemon);
+    daemon.list_engines(40, engine_role::decode);
+    EXPECT_TRUE(daemon.advance(seconds(1)).cache_reads.empty());
+    for (std::uint64_t part = 1; part <= 20; ++part)
+    {
+        std::set<std::string> places;
+        for (int i = 0; i < 6; ++i)
+        {
+            daemon.send("/once/1", part, shared_tokens, own_tokens);
+            auto const out = daemon.advance(milliseconds(10));
+            ASSERT_EQ(out.relay_calls.size(), 1U);
+            auto const &call = out.relay_calls.front();
+            EXPECT_EQ(
+                daemon.state.relay.requests.find(call.attempt)->unread_tokens,
+                own_tokens);
+            places.insert(call.instance);
+            daemon.reply_head(call.attempt, 200);
+            daemon.reply_ends(call.attempt, relay_event_kind::finished);
+            daemon.advance(milliseconds(10));
+        }
+        EXPECT_LE(places.size(), 2U);
+    }
+}
+
+// A home that is busy must not hold prompts up while others can copy its part.
+TEST(relay_placement, a_busy_home_lends_its_part_in_a_large_fleet)
+{
+    relay_fixture daemon;
+    join_large_fleet(daemon);
+    daemon.list_engines(40, engine_role::decode);
+    std::set<std::string> homes;
+    for (int i = 0; i < 2; ++i)
+    {
+        daemon.send("/once/1", 5, shared_tokens, own_tokens);
+        for (auto const &call : daemon.advance(milliseconds(10)).relay_calls)
+        {
+            homes.insert(call.instance);
+            auto &home = *daemon.state.relay.instances.find(call.instance);
+            home.others_unread_tokens = 60000;
+        }
+    }
+    daemon.send("/once/1", 5, shared_tokens, own_tokens);
+    auto const out = daemon.advance(milliseconds(10));
+    ASSERT_EQ(out.relay_calls.size(), 1U);
+    EXPECT_FALSE(homes.contains(out.relay_calls.front().instance));
+    EXPECT_FALSE(out.relay_calls.front().prefix_source_address.empty());
+}
+
 } // namespace
