Compare a few engines for each prompt in large fleets

Cause: each choice predicted for all 320 engines, at least twice for each request.

Change: where shared parts have homes, the first 16 engines of the ranking are compared, and those near by that go on with prompts that were read; after the reading, those in the data centre of the engine that has read it. Daemons' rows are read again after 1 s at a start, so that no daemon behaves for long as in a fleet of four.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -61,6 +61,12 @@
 /// each part.
 constexpr int homes_per_part = 2;
 
+/// Engines that are compared for one prompt in a fleet where shared parts have
+/// homes: those that rank first for its parts. Enough for the copies of the
+/// most popular part at 320 engines; the cost of a choice does not grow with
+/// them.
+constexpr int most_ranked = 16;
+
 /// An engine in decode role reads at half the speed of one in prefill role and
 /// ranks first for half as many parts.
 constexpr double prefill_rank_weight = 2;
@@ -77,6 +83,9 @@
     instance_state const *instance = nullptr;
     first_event_prediction prediction;
     duration cost{};
+    /// Place in the ranking for the prompt's shared parts.
+    int order = 0;
+    /// The same, as far as it counts as a cost.
     int rank = 0;
     /// The engine receives the KV caches of prompts that were read elsewhere.
     bool receives = false;
@@ -141,7 +150,7 @@
         auto const &tried = request.tried;
         bool const again =
             std::ranges::find(tried, instance->definition.id) != tried.end();
-        (again ? rest : fresh).push_back({instance, {}, {}, 0, receives});
+        (again ? rest : fresh).push_back({instance, {}, {}, 0, 0, receives});
     }
     return fresh.empty() ? rest : fresh;
 }
@@ -160,11 +169,57 @@
         [key](candidate &item)
         { return std::pair(rank_score(key, *item.instance), &item); });
     std::ranges::sort(scores, {}, &std::pair<double, candidate *>::first);
-    int rank = 0;
+    int order = 0;
     for (auto const &[score, item] : scores)
     {
-        item->rank = item->receives ? last_rank : std::min(rank++, last_rank);
+        item->order = item->receives ? static_cast<int>(scores.size()) : order;
+        item->rank = std::min(item->order, last_rank);
+        order += item->receives ? 0 : 1;
+    }
+}
+
+/// @return data centre whose engines go on with the prompt: that of the engine
+///         that has read it, because a transfer between data centres takes
+///         twice as long, or else the daemon's own
+std::string const &handover_data_centre(world const &w,
+                                        relay_state_entry const &request)
+{
+    auto const *reader =
+        request.kept ? w.relay.instances.find(request.kept->instance) : nullptr;
+    return reader == nullptr ? w.identity.data_centre
+                             : reader->definition.data_centre;
+}
+
+bool is_in(std::string const &data_centre, candidate const &item)
+{
+    return item.instance->definition.data_centre == data_centre;
+}
+
+/// Leaves the engines that a prompt is compared for: the first ones in its
+/// ranking unless it has been read, and those near by that go on with prompts.
+/// Answers the load of hundreds of engines, where each choice would otherwise
+/// look at all of them.
+void keep_few(world const &w, relay_state_entry const &request,
+              std::vector<candidate> &candidates)
+{
+    if (follows_caches(w) || request.chain.empty() ||
+        candidates.size() <= static_cast<std::size_t>(most_ranked))
+    {
+        return;
     }
+    auto const &near = handover_data_centre(w, request);
+    bool const any_near =
+        std::ranges::any_of(candidates, [&near](candidate const &item)
+                            { return item.receives && is_in(near, item); });
+    std::erase_if(candidates,
+                  [&](candidate const &item)
+                  {
+                      bool const first = (!request.kept || !any_near) &&
+                                         item.order < most_ranked;
+                      bool const receives =
+                          item.receives && (!any_near || is_in(near, item));
+                      return !first && !receives;
+                  });
 }
 
 /// @return time until an engine goes on with a prompt that was read elsewhere
@@ -335,6 +390,7 @@
 {
     auto candidates = candidates_of(w, request);
     rank_candidates(request, candidates);
+    keep_few(w, request, candidates);
     auto const source = follows_caches(w)
                             ? find_prefix_source(request, candidates, nullptr)
                             : home_of(request, candidates);
--- a/src/store_paces.cpp
+++ b/src/store_paces.cpp
@@ -30,6 +30,10 @@
 constexpr double daemons_at_shortest_interval = 30;
 constexpr duration longest_row_interval = seconds(20);
 
+/// Pause between reads of the daemons' rows until others are known: all daemons
+/// of a fleet start within a second.
+constexpr duration first_rows_pause = seconds(1);
+
 /// Intervals, and the time that a row takes to be seen, after which a daemon is
 /// not counted.
 constexpr int missed_intervals = 3;
@@ -68,7 +72,9 @@
         return {restored ? restored_pause : bounded, duration(0)};
     }
     case followed_table::daemons:
-        return {daemon_row_interval(relay), duration(0)};
+        return {relay.daemons.size() < 2 ? first_rows_pause
+                                         : daemon_row_interval(relay),
+                duration(0)};
     }
     return {};
 }
--- a/test/correctness/relay_placement_test.cpp
+++ b/test/correctness/relay_placement_test.cpp
@@ -1,6 +1,7 @@
 // Guards the placement under the heaviest load, bursts of long prompts with
 // shared parts: prompts must return to the engine that has read their shared
 // parts, and daemons must agree on it without messages.
+#include "choose_instance.hpp"
 #include "relay_fixture.hpp"
 
 #include <gtest/gtest.h>
@@ -292,6 +293,37 @@
     }
 }
 
+// The cost of a choice at 320 engines: a choice that looks at each of them took
+// 5% of a core of each daemon on the large deployment.
+TEST(relay_placement, a_choice_among_hundreds_of_engines_compares_a_few)
+{
+    relay_fixture daemon;
+    join_large_fleet(daemon);
+    daemon.list_engines(200, engine_role::decode);
+    daemon.list_engines(120, engine_role::prefill);
+    int handed_over = 0;
+    for (std::uint64_t part = 1; part <= 20; ++part)
+    {
+        daemon.send("/once/1", part, shared_tokens, own_tokens);
+        auto const out = daemon.advance(milliseconds(10));
+        ASSERT_EQ(out.relay_calls.size(), 1U);
+        auto const &call = out.relay_calls.front();
+        auto const choice = choose_instance(
+            daemon.state, *daemon.state.relay.requests.find(call.request));
+        ASSERT_TRUE(choice.has_value());
+        EXPECT_LE(choice->candidates, 80);
+        if (call.stage == relay_stage::prefill)
+        {
+            daemon.state.in.prefill_results.push_back({call.attempt, "handle"});
+            auto const next = daemon.advance(milliseconds(10)).relay_calls;
+            ASSERT_EQ(next.size(), 1U);
+            EXPECT_TRUE(next.front().instance.starts_with("decode"));
+            ++handed_over;
+        }
+    }
+    EXPECT_GT(handed_over, 0);
+}
+
 // A home that is busy must not hold prompts up while others can copy its part.
 TEST(relay_placement, a_busy_home_lends_its_part_in_a_large_fleet)
 {
