Compare waiting requests every 5 ms; share sessions between calls of single connections

Cause: processor time on the large site. Each tick compared every waiting request again, and each engine that a daemon met was given an HTTP session of its own.

The rest lies below the tick, in connections, polls and wake-ups of 118 processes.

Conclusion: both are kept, the sessions because a daemon at the target size meets 600 engines and a session takes longer to make than a call.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -11,17 +11,21 @@
 
 /// Calls that are open on one session at the same time; see `pooled_session`.
 constexpr std::size_t max_calls_per_session = 32;
+/// Time for which an unused connection is kept; the shortest one that libsoup
+/// knows where it is not used again.
+constexpr guint kept_idle_seconds = 30;
+constexpr guint single_idle_seconds = 1;
 /// Time after which a silent connection counts as broken.
 constexpr guint io_timeout_seconds = 120;
 
-SoupSession *make_session(duration idle_time)
+SoupSession *make_session(connection_use use)
 {
-    auto const idle_seconds = std::chrono::ceil<seconds>(idle_time).count();
+    auto const idle_seconds =
+        use == connection_use::kept ? kept_idle_seconds : single_idle_seconds;
     auto *session = soup_session_new_with_options(
         "max-conns", static_cast<int>(max_calls_per_session),
         "max-conns-per-host", static_cast<int>(max_calls_per_session),
-        "timeout", io_timeout_seconds, "idle-timeout",
-        static_cast<guint>(idle_seconds), nullptr);
+        "timeout", io_timeout_seconds, "idle-timeout", idle_seconds, nullptr);
     soup_session_set_proxy_resolver(session, nullptr);
     soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
     soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
@@ -55,7 +59,7 @@
 
 } // namespace
 
-http_client::http_client(duration idle_time) : idle_time_(idle_time) {}
+http_client::http_client(connection_use use) : use_(use) {}
 
 http_client::~http_client()
 {
@@ -74,7 +78,8 @@
 std::shared_ptr<http_client::pooled_session> const &
 http_client::session_for(std::string const &address)
 {
-    auto &sessions = sessions_[address];
+    auto &sessions =
+        sessions_[use_ == connection_use::kept ? address : std::string()];
     auto const free = std::ranges::find_if(
         sessions, [](std::shared_ptr<pooled_session> const &item)
         { return item->open < max_calls_per_session; });
@@ -83,7 +88,7 @@
         return *free;
     }
     auto made = std::make_shared<pooled_session>();
-    made->session.reset(make_session(idle_time_));
+    made->session.reset(make_session(use_));
     return sessions.emplace_back(std::move(made));
 }
 
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -24,13 +24,22 @@
     std::string body;
 };
 
-/// Outgoing HTTP calls of one daemon, over connections that are kept open.
+/// Whether the calls of a client use connections again.
+enum class connection_use
+{
+    /// Connections are kept open for further calls.
+    kept,
+    /// Each call has a connection of its own.
+    single_call,
+};
+
+/// Outgoing HTTP calls of one daemon.
 class http_client
 {
 public:
-    /// @param idle_time time for which an unused connection is kept, in whole
-    ///        seconds
-    explicit http_client(duration idle_time = seconds(30));
+    /// @param use whether connections are used again; calls over single
+    ///        connections must set `http_request::new_connection`
+    explicit http_client(connection_use use = connection_use::kept);
     ~http_client();
     http_client(http_client const &) = delete;
     http_client &operator=(http_client const &) = delete;
@@ -53,7 +62,9 @@
 
 private:
     /// libsoup walks through all open calls of a session at each step of each
-    /// call, so that a session is given a few calls only.
+    /// call, so that a session is given a few calls only. Sessions with kept
+    /// connections serve one address, others any: to make one takes longer than
+    /// a call, and a daemon may call hundreds of addresses.
     struct pooled_session
     {
         gobject_ptr<SoupSession> session;
@@ -64,7 +75,7 @@
     session_for(std::string const &address);
     void release(std::shared_ptr<http_call> const &call);
 
-    duration idle_time_;
+    connection_use use_;
     std::unordered_map<std::string,
                        std::vector<std::shared_ptr<pooled_session>>>
         sessions_;
--- a/src/place_relays.cpp
+++ b/src/place_relays.cpp
@@ -25,6 +25,10 @@
 /// Ranks that engines know, 0 for the most urgent.
 constexpr int least_urgent_rank = 9;
 
+/// Time after which a waiting request is compared again. Each tick has input,
+/// hundreds a second, and a comparison costs as much as the tick itself.
+constexpr duration comparison_pause = milliseconds(5);
+
 /// Callers are told to return after a part of the wait that made the request
 /// impossible.
 constexpr duration shortest_retry_after = milliseconds(500);
@@ -139,6 +143,13 @@
                         fleet_tokens_per_ms(w, service) / 1e3);
 }
 
+void wait(world &w, relay_state_entry const &request, queued_tokens &queued)
+{
+    queued[request.service] += request.waiting_tokens;
+    w.relay.waiting.push_back(request.number);
+    wake_at(w, request.not_before);
+}
+
 /// Sends or refuses the request, or lets it wait.
 void place(world &w, request_number number, queued_tokens &queued)
 {
@@ -163,10 +174,12 @@
     }
     if (choice->full)
     {
-        queued[request.service] += choice->prediction.unread_tokens;
-        w.relay.waiting.push_back(number);
+        request.waiting_tokens = choice->prediction.unread_tokens;
+        request.not_before = w.now + comparison_pause;
+        wait(w, request, queued);
         return;
     }
+    request.waiting_tokens = 0;
     send(w, request, *choice);
 }
 
@@ -182,11 +195,10 @@
     queued_tokens queued;
     for (auto const number : due)
     {
-        auto const not_before = w.relay.requests.find(number)->not_before;
-        if (not_before > w.now)
+        auto const &request = *w.relay.requests.find(number);
+        if (request.not_before > w.now)
         {
-            w.relay.waiting.push_back(number);
-            wake_at(w, not_before);
+            wait(w, request, queued);
             continue;
         }
         place(w, number, queued);
--- a/src/relay_process.cpp
+++ b/src/relay_process.cpp
@@ -29,10 +29,6 @@
 constexpr int reserved_descriptors = 200;
 constexpr int descriptors_per_request = 2;
 
-/// Connections to instances serve one call; the shortest time that libsoup
-/// knows.
-constexpr duration instance_idle_time = seconds(1);
-
 /// Time in which a caller must have sent the body of its request.
 constexpr duration body_timeout = seconds(15);
 
@@ -56,7 +52,7 @@
       state_({config_.name, incarnation, config_.data_centre,
               config_.caller_address},
              seed),
-      loop_(state_), instance_http_(instance_idle_time),
+      loop_(state_), instance_http_(connection_use::single_call),
       callers_(state_, loop_, codec_, limits_of(config_)),
       instances_(instance_http_, loop_, codec_), caches_(http_, loop_, codec_),
       rows_(http_, loop_, codec_, config_.store_address)
--- a/src/relay_table.hpp
+++ b/src/relay_table.hpp
@@ -48,8 +48,12 @@
     int runs = 0;
     /// Calls that reached an instance, with those that it refused.
     int sends = 0;
-    /// Waits for a place until then after a failed call.
+    /// Waits for a place until then, after a failed call or because engines were
+    /// full.
     instant not_before{};
+    /// Prompt tokens that an engine would have had to read when the request was
+    /// last compared and had to wait.
+    int waiting_tokens = 0;
     std::optional<kept_prefill> kept;
     /// Prefill elsewhere has failed once; the next call runs in one place.
     bool prefill_failed = false;
