Close a reply without end once it is too long

A test with such a server: libsoup ends an endless status line, header, chunk header or trailer by itself, but a collected reply that had passed its limit of 16 MB was read on, 3.5 GB in 5 s, until the timeout; the body of a reply to a prefill call was collected without any limit (read from the code).

Change: the call ends and its connection is closed at the limit; 64 KB for replies to prefill calls.

Tests: endless_reply, 8 kinds; two of them failed before (a body without a length, a chunk), now none. Replies that are passed on were bounded before.

--- a/harness/fixed_reply_server.cpp
+++ b/harness/fixed_reply_server.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace agateledge
@@ -15,6 +16,11 @@
 namespace
 {
 
+/// Bytes at the end of a reply that an endless one repeats.
+constexpr std::size_t repeated_bytes = 1;
+/// Bytes that an endless reply sends at once.
+constexpr std::size_t block_bytes = 65536;
+
 sockaddr_in loopback()
 {
     sockaddr_in address{};
@@ -40,6 +46,7 @@
 
 fixed_reply_server::~fixed_reply_server()
 {
+    ends_ = true;
     shutdown(listener_, SHUT_RDWR);
     thread_.join();
     close(listener_);
@@ -57,6 +64,29 @@
     return "127.0.0.1:" + std::to_string(ntohs(bound.sin_port));
 }
 
+void fixed_reply_server::send_without_end()
+{
+    auto const tail = reply_.substr(reply_.size() - repeated_bytes);
+    std::string filler;
+    while (filler.size() < block_bytes)
+    {
+        filler += tail;
+    }
+    timeval const pause{0, 100'000};
+    setsockopt(connection_, SOL_SOCKET, SO_SNDTIMEO, &pause, sizeof(pause));
+    while (!ends_)
+    {
+        auto const sent =
+            send(connection_, filler.data(), filler.size(), MSG_NOSIGNAL);
+        if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+        {
+            closed_by_caller_ = true;
+            return;
+        }
+        bytes_sent_ += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    }
+}
+
 void fixed_reply_server::serve()
 {
     connection_ = accept(listener_, nullptr, nullptr);
@@ -70,6 +100,11 @@
         return;
     }
     send(connection_, reply_.data(), reply_.size(), MSG_NOSIGNAL);
+    if (ending_ == reply_ending::endless)
+    {
+        send_without_end();
+        return;
+    }
     if (ending_ == reply_ending::reset)
     {
         linger const at_once{1, 0};
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -38,21 +38,21 @@
     http_reply reply;
     std::function<void(http_reply const &)> on_reply;
     std::weak_ptr<http_call> call;
-    bool too_long = false;
 
-    void add(std::string_view bytes)
+    /// @return false when the reply is too long
+    bool add(std::string_view bytes)
     {
-        too_long |=
-            reply.body.size() + bytes.size() > http_client::max_reply_bytes;
-        if (!too_long)
+        if (reply.body.size() + bytes.size() > http_client::max_reply_bytes)
         {
-            reply.body.append(bytes);
+            return false;
         }
+        reply.body.append(bytes);
+        return true;
     }
 
     void end(http_outcome outcome)
     {
-        reply.outcome = too_long ? http_outcome::failed_after_send : outcome;
+        reply.outcome = outcome;
         on_reply(reply);
     }
 };
@@ -138,9 +138,17 @@
     http_call_handlers handlers;
     handlers.on_head = [parts](int status, SoupMessageHeaders *)
     { parts->reply.status = status; };
-    handlers.on_bytes = [parts](std::string_view bytes) { parts->add(bytes); };
+    handlers.on_bytes = [this, parts](std::string_view bytes)
+    {
+        // The connection is closed at once: the reply may have no end.
+        if (!parts->add(bytes))
+        {
+            cancel(parts->call.lock());
+            parts->end(http_outcome::failed_after_send);
+        }
+    };
     handlers.on_end = [parts](http_outcome outcome) { parts->end(outcome); };
-    open(request, std::move(handlers));
+    parts->call = open(request, std::move(handlers));
 }
 
 } // namespace agateledge
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -52,7 +52,8 @@
     void cancel(std::shared_ptr<http_call> const &call);
 
     /// Starts a call and collects its reply. A reply longer than
-    /// `max_reply_bytes` counts as failed after the send.
+    /// `max_reply_bytes` counts as failed after the send, and its connection is
+    /// closed.
     ///
     /// @param on_reply runs once, unless the client is destroyed before
     void send(http_request const &request,
--- a/src/instance_client.cpp
+++ b/src/instance_client.cpp
@@ -15,6 +15,9 @@
 
 constexpr int http_ok = 200;
 
+/// Longest reply to a prefill call, which holds a handle and two numbers.
+constexpr std::size_t most_prefill_bytes = 65536;
+
 /// Time for the release of a KV cache, which expires anyway.
 constexpr duration release_timeout = seconds(1);
 
@@ -120,7 +123,7 @@
 {
     if (call.stage == relay_stage::prefill)
     {
-        open_.at(call.attempt).prefill_body.append(bytes);
+        take_prefill_bytes(call, bytes);
         return;
     }
     relay_event event;
@@ -130,6 +133,19 @@
     loop_.input().relay_events.push_back(std::move(event));
 }
 
+void instance_client::take_prefill_bytes(relay_call const &call,
+                                         std::string_view bytes)
+{
+    auto &open = open_.at(call.attempt);
+    if (open.prefill_body.size() + bytes.size() <= most_prefill_bytes)
+    {
+        open.prefill_body.append(bytes);
+        return;
+    }
+    http_.cancel(open.http);
+    take_end(call, http_outcome::failed_after_send);
+}
+
 void instance_client::take_end(relay_call const &call, http_outcome outcome)
 {
     auto const &open = open_.at(call.attempt);
--- a/src/instance_client.hpp
+++ b/src/instance_client.hpp
@@ -49,6 +49,7 @@
 
     void take_head(relay_call const &call, int status, header_list headers);
     void take_bytes(relay_call const &call, std::string_view bytes);
+    void take_prefill_bytes(relay_call const &call, std::string_view bytes);
     void take_end(relay_call const &call, http_outcome outcome);
     void forget(attempt_number attempt);
 
--- /dev/null
+++ b/test/error/endless_reply_test.cpp
@@ -0,0 +1,87 @@
+// Guards against a server in trouble that sends bytes without end, in a head or
+// a body, until the caller closes: memory must stay bounded and the call must
+// end, without waiting for its timeout.
+#include "fixed_reply_server.hpp"
+#include "http_client.hpp"
+#include "raw_client.hpp"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <string>
+
+namespace
+{
+
+using namespace agateledge;
+
+/// Bytes that a server may send before the call ends: the longest reply that is
+/// collected, and what the sockets of both sides buffer.
+constexpr std::size_t most_bytes = http_client::max_reply_bytes * 2;
+
+void expect_bounded(std::string const &begin,
+                    http_outcome outcome = http_outcome::failed_after_send)
+{
+    fixed_reply_server const server(begin, reply_ending::endless);
+    http_client client(connection_use::single_call);
+    std::optional<http_reply> got;
+    http_request request;
+    request.address = server.address();
+    request.path = "/";
+    request.total_timeout = seconds(30);
+    request.new_connection = true;
+    client.send(request, [&got](http_reply const &answer) { got = answer; });
+    run_until([&got] { return got.has_value(); });
+    ASSERT_TRUE(got.has_value()) << server.bytes_sent() << " bytes taken";
+    EXPECT_EQ(got->outcome, outcome);
+    run_until([&server] { return server.closed_by_caller(); });
+    EXPECT_TRUE(server.closed_by_caller());
+    EXPECT_LE(server.bytes_sent(), most_bytes);
+}
+
+TEST(endless_reply, a_status_line_ends)
+{
+    expect_bounded("HTTP/1.1 200 OOOO");
+}
+
+TEST(endless_reply, bytes_that_are_no_head_end)
+{
+    expect_bounded("zzzz");
+}
+
+TEST(endless_reply, a_header_ends)
+{
+    expect_bounded("HTTP/1.1 200 OK\r\nServer: xxxx");
+}
+
+TEST(endless_reply, blank_lines_before_a_head_end)
+{
+    expect_bounded("\n\n\n\n");
+}
+
+TEST(endless_reply, a_body_without_a_length_ends)
+{
+    expect_bounded("HTTP/1.1 200 OK\r\n\r\nxxxx");
+}
+
+TEST(endless_reply, a_chunk_ends)
+{
+    expect_bounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "fffffffff\r\nxxxx");
+}
+
+TEST(endless_reply, a_chunk_header_ends)
+{
+    expect_bounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nabcd\r\n0000");
+}
+
+// The body is whole before its trailers.
+TEST(endless_reply, trailers_end)
+{
+    expect_bounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "4\r\nabcd\r\n0\r\nTrailer: xxxx",
+                   http_outcome::answered);
+}
+
+} // namespace
