--- a/src/relay_table.hpp
+++ b/src/relay_table.hpp
@@ -48,8 +48,8 @@
     int runs = 0;
     /// Calls that reached an instance, with those that it refused.
     int sends = 0;
-    /// Waits for a place until then, after a failed call or because engines were
-    /// full.
+    /// Waits for a place until then, after a failed call or because engines
+    /// were full.
     instant not_before{};
     /// Prompt tokens that an engine would have had to read when the request was
     /// last compared and had to wait.
