--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -10,6 +10,7 @@
 #include <iterator>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -81,19 +82,18 @@
 
 std::vector<std::string> hubs_of_others(world const &w)
 {
-    std::map<std::string, std::string> hubs;
+    std::set<std::string> data_centres;
     for (auto const &[name, peer] : w.relay.daemons)
     {
         if (peer.data_centre != w.identity.data_centre)
         {
-            hubs.try_emplace(peer.data_centre);
+            data_centres.insert(peer.data_centre);
         }
     }
     std::vector<std::string> out;
-    for (auto const &[data_centre, unused] : hubs)
-    {
-        out.push_back(hub_of(w, data_centre));
-    }
+    std::ranges::transform(data_centres, std::back_inserter(out),
+                           [&w](std::string const &data_centre)
+                           { return hub_of(w, data_centre); });
     return out;
 }
 
