Say once how values fade, how intervals grow and what status a reply has

Four twins are one now: the fading of a pause and of a delay (`fade`), the interval that grows with the fleet (`fleet_interval`), the status of a reply that did not arrive whole (`answered_status`, in the reads of caches and rows). The datagram buffer of 64 KB was cleared at each wake-up; it belongs to the socket.

--- a/src/cache_reader.cpp
+++ b/src/cache_reader.cpp
@@ -20,11 +20,9 @@
     http_.send(request,
                [this, read](http_reply const &reply)
                {
-                   auto const status = reply.outcome == http_outcome::answered
-                                           ? reply.status
-                                           : 0;
                    loop_.input().cache_read_replies.push_back(
-                       codec_.decode_cache_read(read, status, reply.body));
+                       codec_.decode_cache_read(read, reply.answered_status(),
+                                                reply.body));
                });
 }
 
--- a/src/datagram_socket.cpp
+++ b/src/datagram_socket.cpp
@@ -3,17 +3,12 @@
 #include "result_code.hpp"
 #include "socket_address.hpp"
 
-#include <array>
-
 namespace agateledge
 {
 
 namespace
 {
 
-/// Largest UDP datagram.
-constexpr std::size_t most_bytes = 65536;
-
 /// Datagrams that are read at once before other input has its turn.
 constexpr int most_at_once = 64;
 
@@ -66,18 +61,17 @@
 
 gboolean datagram_socket::receive()
 {
-    std::array<char, most_bytes> buffer{};
     for (int i = 0; i < most_at_once; ++i)
     {
-        auto const count = g_socket_receive(socket_.get(), buffer.data(),
-                                            buffer.size(), nullptr, nullptr);
+        auto const count = g_socket_receive(socket_.get(), buffer_.data(),
+                                            buffer_.size(), nullptr, nullptr);
         if (count < 0)
         {
             break;
         }
         if (on_datagram)
         {
-            on_datagram({buffer.data(), static_cast<std::size_t>(count)});
+            on_datagram({buffer_.data(), static_cast<std::size_t>(count)});
         }
     }
     return G_SOURCE_CONTINUE;
--- a/src/datagram_socket.hpp
+++ b/src/datagram_socket.hpp
@@ -6,6 +6,8 @@
 #include <absl/status/status.h>
 #include <gio/gio.h>
 
+#include <array>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -38,10 +40,14 @@
     std::function<void(std::string_view bytes)> on_datagram;
 
 private:
+    /// Largest UDP datagram.
+    static constexpr std::size_t most_bytes = 65536;
+
     gboolean receive();
 
     gobject_ptr<GSocket> socket_;
     GSource *source_ = nullptr;
+    std::array<char, most_bytes> buffer_{};
 };
 
 } // namespace agateledge
--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -1,6 +1,6 @@
 #include "exchange_loads.hpp"
 
-#include "log_relay.hpp"
+#include "fleet_interval.hpp"
 #include "rendezvous_rank.hpp"
 #include "world.hpp"
 
@@ -42,9 +42,9 @@
 
 duration report_interval(world const &w)
 {
-    auto const scale = w.relay.sharing_daemons() / daemons_at_shortest_interval;
-    return std::clamp(from_seconds(to_seconds(shortest_interval) * scale),
-                      duration(shortest_interval), duration(longest_interval));
+    return fleet_interval(w.relay.sharing_daemons(),
+                          daemons_at_shortest_interval, shortest_interval,
+                          longest_interval);
 }
 
 bool is_mesh(world const &w)
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -22,6 +22,12 @@
     http_outcome outcome = http_outcome::answered;
     int status = 0;
     std::string body;
+
+    /// @return the status of a whole reply; 0 when there is none
+    int answered_status() const
+    {
+        return outcome == http_outcome::answered ? status : 0;
+    }
 };
 
 /// Whether the calls of a client use connections again.
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -1,9 +1,9 @@
 #include "predict_first_event.hpp"
 
+#include "fade.hpp"
 #include "world.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace agateledge
 {
@@ -44,9 +44,8 @@
 
 duration delay_now(world const &w, instance_state const &instance)
 {
-    auto const age = to_seconds(w.now - instance.delay_seen_at);
-    return from_seconds(to_seconds(instance.delay) *
-                        std::exp2(-age / delay_half_life_s));
+    return fade(instance.delay, w.now - instance.delay_seen_at,
+                delay_half_life_s);
 }
 
 /// @return time by which the oldest silent call is later than predicted
--- a/src/predict_pause.cpp
+++ b/src/predict_pause.cpp
@@ -1,10 +1,10 @@
 #include "predict_pause.hpp"
 
+#include "fade.hpp"
 #include "predict_first_event.hpp"
 #include "world.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace agateledge
 {
@@ -24,9 +24,8 @@
 
 duration pause_now(world const &w, instance_state const &instance)
 {
-    auto const age = to_seconds(w.now - instance.pause_seen_at);
-    return from_seconds(to_seconds(instance.pause) *
-                        std::exp2(-age / pause_half_life_s));
+    return fade(instance.pause, w.now - instance.pause_seen_at,
+                pause_half_life_s);
 }
 
 } // namespace
--- a/src/row_client.cpp
+++ b/src/row_client.cpp
@@ -46,11 +46,9 @@
     http_.send(request,
                [this, read](http_reply const &reply)
                {
-                   auto const status = reply.outcome == http_outcome::answered
-                                           ? reply.status
-                                           : 0;
                    loop_.input().row_read_replies.push_back(
-                       codec_.decode_row_read(read, status, reply.body));
+                       codec_.decode_row_read(read, reply.answered_status(),
+                                              reply.body));
                });
 }
 
--- a/src/store_paces.cpp
+++ b/src/store_paces.cpp
@@ -1,5 +1,6 @@
 #include "store_paces.hpp"
 
+#include "fleet_interval.hpp"
 #include "relay_state.hpp"
 
 #include <algorithm>
@@ -43,10 +44,8 @@
 
 duration daemon_row_interval(relay_state const &relay)
 {
-    auto const scale = relay.sharing_daemons() / daemons_at_shortest_interval;
-    return std::clamp(from_seconds(to_seconds(shortest_row_interval) * scale),
-                      duration(shortest_row_interval),
-                      duration(longest_row_interval));
+    return fleet_interval(relay.sharing_daemons(), daemons_at_shortest_interval,
+                          shortest_row_interval, longest_row_interval);
 }
 
 duration daemon_row_lifetime(relay_state const &relay)
