Let every decode engine receive prefilled prompts

Cause: a fixed quarter of the decode engines received hand-overs, two of eight on further; in bursts the first event after the prefill took 0.37 s at the median. Change: all of them do; the fraction, its penalty and the extra cost of prefills on those engines go. In large fleets hand-overs compare the top-ranked engines of the data centre that holds the KV cache.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <iterator>
 #include <vector>
 
@@ -43,18 +44,6 @@
 /// Prompts with fewer uncached tokens are sent regardless of the limit.
 constexpr int short_prompt_tokens = 2000;
 
-/// Fraction of the engines in decode role that receive KV caches computed by
-/// other engines. They prefill prompts only as a last resort, because requests
-/// handed over to them wait for the prefills in progress.
-constexpr double receiver_share = 0.25;
-
-/// Cost of handing a KV cache to a decode engine outside that fraction.
-constexpr duration non_receiver_cost = milliseconds(60);
-
-/// Cost of prefilling a prompt on a receiving engine, as a factor of the
-/// prefill time, in addition to the prefill time itself.
-constexpr double receiver_prefill_cost_factor = 1.3;
-
 /// Number of top-ranked engines that are assumed to cache a shared part when
 /// engine caches are not tracked. Two engines spread the load of a popular
 /// part; the engines of the known deployments have room for three copies of
@@ -70,13 +59,6 @@
 /// role, which prefills at half the speed.
 constexpr double prefill_rank_weight = 2;
 
-/// @return true for an engine in decode role that accepts new work
-bool is_available_decoder(instance_state const *instance)
-{
-    auto const &definition = instance->definition;
-    return definition.role == engine_role::decode && definition.accepts_work;
-}
-
 struct candidate
 {
     instance_state const *instance = nullptr;
@@ -86,28 +68,8 @@
     int order = 0;
     /// `order` limited to `max_rank`, for the cost.
     int rank = 0;
-    /// The engine receives KV caches computed by other engines.
-    bool receives_handovers = false;
 };
 
-/// @return number of engines that receive KV caches computed by other engines:
-///         the first ones in decode role, so that all daemons agree on them; 0
-///         without engines in prefill role
-int count_receivers(std::vector<instance_state const *> const &instances)
-{
-    bool const any_prefill = std::ranges::any_of(
-        instances, [](instance_state const *item)
-        { return item->definition.role == engine_role::prefill; });
-    if (!any_prefill)
-    {
-        return 0;
-    }
-    auto const decoding =
-        std::ranges::count_if(instances, is_available_decoder);
-    return static_cast<int>(
-        std::ceil(receiver_share * static_cast<double>(decoding)));
-}
-
 double rank_score(std::uint64_t key, instance_state const &instance)
 {
     auto const &id = instance.definition.id;
@@ -137,13 +99,10 @@
                                            proxy_request_state const &request)
 {
     auto const &instances = w.proxy.instances.of_service(request.service);
-    auto receivers_left = count_receivers(instances);
     std::vector<candidate> untried;
     std::vector<candidate> retried;
     for (auto const *instance : instances)
     {
-        bool const receives_handovers =
-            is_available_decoder(instance) && receivers_left-- > 0;
         if (!is_eligible(w, request, *instance))
         {
             continue;
@@ -152,7 +111,7 @@
         bool const already_tried =
             std::ranges::find(tried, instance->definition.id) != tried.end();
         (already_tried ? retried : untried)
-            .push_back({instance, {}, {}, 0, 0, receives_handovers});
+            .push_back({instance, {}, {}, 0, 0});
     }
     return untried.empty() ? retried : untried;
 }
@@ -174,10 +133,8 @@
     int order = 0;
     for (auto const &[score, item] : scores)
     {
-        item->order =
-            item->receives_handovers ? static_cast<int>(scores.size()) : order;
+        item->order = order++;
         item->rank = std::min(item->order, max_rank);
-        order += item->receives_handovers ? 0 : 1;
     }
 }
 
@@ -195,15 +152,9 @@
                              : reader->definition.data_centre;
 }
 
-bool is_in_data_centre(std::string const &data_centre, candidate const &item)
-{
-    return item.instance->definition.data_centre == data_centre;
-}
-
-/// Limits the candidates to the top-ranked engines, unless the prompt has been
-/// prefilled, and to the receiving engines of the hand-over data centre.
-/// Without this limit the cost of each choice grows with the number of engines,
-/// which matters at hundreds of them.
+/// Limits the candidates to the top-ranked engines, for a hand-over to those of
+/// the data centre that holds the KV cache. Without this limit the cost of each
+/// choice grows with the number of engines, which matters at hundreds of them.
 void limit_candidates(world const &w, proxy_request_state const &request,
                       std::vector<candidate> &candidates)
 {
@@ -212,29 +163,28 @@
     {
         return;
     }
-    auto const &near = handover_data_centre(w, request);
-    bool const any_near = std::ranges::any_of(
-        candidates, [&near](candidate const &item)
-        { return item.receives_handovers && is_in_data_centre(near, item); });
-    std::erase_if(candidates,
-                  [&](candidate const &item)
-                  {
-                      bool const first =
-                          (!request.retained_prefill || !any_near) &&
-                          item.order < max_ranked_candidates;
-                      bool const receives_handovers =
-                          item.receives_handovers &&
-                          (!any_near || is_in_data_centre(near, item));
-                      return !first && !receives_handovers;
-                  });
+    if (request.retained_prefill)
+    {
+        auto const &near = handover_data_centre(w, request);
+        auto const is_near = [&near](candidate const &item)
+        { return item.instance->definition.data_centre == near; };
+        if (std::ranges::any_of(candidates, is_near))
+        {
+            std::erase_if(candidates, std::not_fn(is_near));
+        }
+    }
+    std::ranges::sort(candidates, {}, &candidate::order);
+    if (candidates.size() > static_cast<std::size_t>(max_ranked_candidates))
+    {
+        candidates.resize(max_ranked_candidates);
+    }
 }
 
 /// @return predicted time until an engine continues a prompt that another one
-///         has prefilled, with the penalty for engines that do not receive
+///         has prefilled
 duration handover_cost(candidate const &item)
 {
-    return item.prediction.wait + handover_time +
-           (item.receives_handovers ? duration(0) : non_receiver_cost);
+    return item.prediction.wait + handover_time;
 }
 
 /// @return minimum hand-over cost over the engines that decode;
@@ -335,13 +285,6 @@
     item.cost = prediction.time +
                 from_seconds(copied_token_cost_s * prediction.copied_tokens) +
                 rank_cost * item.rank;
-    if (item.receives_handovers && !request.retained_prefill &&
-        request.content->prompt)
-    {
-        item.cost += from_seconds(
-            receiver_prefill_cost_factor * prediction.unread_tokens /
-            prefill_tokens_per_ms(w, *item.instance) / 1e3);
-    }
     if (!request.retained_prefill && request.content->prompt)
     {
         item.cost += pause_cost(w, *item.instance, prediction.unread_tokens);
