Send requests that will be late in the background

Change: a request whose first event is predicted after its target goes with the least urgent priority. It counts in no prediction of other calls and teaches none. When background calls of all daemons would keep it from beginning before its caller leaves, it is refused at once as not run.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -184,11 +184,17 @@
     {
         return;
     }
-    instance->unread_tokens -= attempt.unread_tokens;
+    auto &unread = attempt.background ? instance->background_tokens
+                                      : instance->unread_tokens;
+    unread -= attempt.unread_tokens;
     if (auto const *request = w.proxy.requests.find(attempt.request))
     {
         instance->cache.mark_prefilled(request->chain);
     }
+    if (attempt.background)
+    {
+        return;
+    }
     update_first_event_estimate(w, *instance, attempt.sent_at,
                                 attempt.predicted, attempt.unread_tokens,
                                 attempt.calls_before == 0);
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -77,6 +77,8 @@
     std::unordered_set<attempt_number> open_calls;
     /// Prompt tokens of this daemon's open calls still to be prefilled.
     std::int64_t unread_tokens = 0;
+    /// The same of background calls, which yield to all others.
+    std::int64_t background_tokens = 0;
     /// The engine's key in load reports; see `load_key_of`.
     std::uint64_t load_key = 0;
     /// Unread tokens and open calls of other daemons, from their last reports.
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -35,7 +35,8 @@
 
 proxy_call make_call(world const &w, proxy_request_state const &request,
                      instance_state const &instance,
-                     instance_choice const &choice, attempt_number attempt)
+                     instance_choice const &choice, attempt_number attempt,
+                     bool background)
 {
     auto const remaining = request.expires_at - w.now;
     proxy_call call;
@@ -52,7 +53,9 @@
     if (request.content->prompt)
     {
         call.priority =
-            std::clamp(request.route->priority, 0, least_urgent_priority);
+            background ? least_urgent_priority
+                       : std::clamp(request.route->priority, 0,
+                                    least_urgent_priority - 1);
     }
     if (request.retained_prefill)
     {
@@ -81,21 +84,36 @@
          {"left_ms", milliseconds_text(request.expires_at - w.now)}});
 }
 
+/// @return true when the first event is predicted after its target. A request
+///         whose prompt has been prefilled is not deferred: it needs little
+///         more work and occupies the memory of the engine that prefilled it.
+bool will_be_late(world const &w, proxy_request_state const &request,
+                  instance_choice const &choice)
+{
+    return request.content->prompt && !request.retained_prefill &&
+           !request.answering &&
+           w.now + choice.prediction.time >
+               request.arrived_at + request.route->target_latency;
+}
+
 void send(world &w, proxy_request_state &request, instance_choice const &choice)
 {
     auto &proxy = w.proxy;
     auto &instance = *proxy.instances.find(choice.instance);
     auto const attempt = proxy.requests.next_attempt();
     bool const prefill = choice.stage == proxy_stage::prefill;
+    bool const background = will_be_late(w, request, choice);
     w.out.proxy_calls.push_back(
-        make_call(w, request, instance, choice, attempt));
+        make_call(w, request, instance, choice, attempt, background));
     record_placement(w, request, instance, choice);
     proxy.requests.add({attempt, request.number, choice.instance, choice.stage,
                         w.now, choice.prediction.time,
                         choice.prediction.unread_tokens,
-                        instance.open_calls.size(), false});
+                        instance.open_calls.size(), false, background});
     instance.open_calls.insert(attempt);
-    instance.unread_tokens += choice.prediction.unread_tokens;
+    auto &unread =
+        background ? instance.background_tokens : instance.unread_tokens;
+    unread += choice.prediction.unread_tokens;
     instance.cache.record_prompt(request.chain, w.now);
     request.attempt = attempt;
     request.tried_instances.push_back(choice.instance);
@@ -144,6 +162,22 @@
                         service_tokens_per_ms(w, service) / 1e3);
 }
 
+/// @return time that a request which will be late waits at its engine for
+///         earlier background calls, on the assumption that other daemons have
+///         as many there as this one
+duration background_time(world const &w, proxy_request_state const &request,
+                         instance_choice const &choice)
+{
+    if (!will_be_late(w, request, choice))
+    {
+        return duration(0);
+    }
+    auto const &engine = *w.proxy.instances.find(choice.instance);
+    return from_seconds(static_cast<double>(engine.background_tokens) *
+                        w.proxy.effective_fleet_size() /
+                        prefill_tokens_per_ms(w, engine) / 1e3);
+}
+
 void requeue(world &w, proxy_request_state const &request,
              queued_tokens &queued)
 {
@@ -165,7 +199,8 @@
     }
     auto const remaining = request.begin_by - w.now;
     auto const needed = choice->prediction.time +
-                        queue_time(w, request.service, *choice, queued);
+                        queue_time(w, request.service, *choice, queued) +
+                        background_time(w, request, *choice);
     if (request.runs == 0 && needed > remaining)
     {
         auto const excess = needed - remaining;
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -58,7 +58,7 @@
     for (auto const number : instance.open_calls)
     {
         auto const *call = w.proxy.requests.find(number);
-        if (call != nullptr && !call->answered)
+        if (call != nullptr && !call->answered && !call->background)
         {
             max_overdue =
                 std::max(max_overdue, w.now - call->sent_at - call->predicted);
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -95,6 +95,9 @@
     /// sent.
     std::size_t calls_before = 0;
     bool answered = false;
+    /// The call was predicted to miss its target and was sent with the least
+    /// urgent priority; it counts in no prediction for urgent calls.
+    bool background = false;
 };
 
 /// Open requests and their calls.
