Bound what is prefilled between the events of streams

Change: a decode engine with open streams takes a prompt only if it can prefill it, after those that it has yet to prefill, within the maximum event gap of the service. An engine that cannot is chosen when there is no other.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -10,6 +10,7 @@
 #include <cmath>
 #include <functional>
 #include <iterator>
+#include <tuple>
 #include <vector>
 
 namespace agateledge
@@ -68,6 +69,9 @@
     int order = 0;
     /// `order` limited to `max_rank`, for the cost.
     int rank = 0;
+    /// Prefilling the prompt on the engine would delay the events of its
+    /// streams beyond their maximum gap.
+    bool delays_streams = false;
 };
 
 double rank_score(std::uint64_t key, instance_state const &instance)
@@ -288,6 +292,8 @@
     if (!request.retained_prefill && request.content->prompt)
     {
         item.cost += pause_cost(w, *item.instance, prediction.unread_tokens);
+        item.delays_streams =
+            delays_streams(w, *item.instance, prediction.unread_tokens);
     }
     if (item.instance->definition.data_centre != w.identity.data_centre)
     {
@@ -363,7 +369,10 @@
                 handover == duration::max() ? handover : item.cost + handover;
         }
     }
-    std::ranges::sort(candidates, {}, &candidate::cost);
+    std::ranges::sort(
+        candidates, {}, [](candidate const &item)
+        { return std::tuple(item.cost == duration::max(), item.delays_streams,
+                            item.cost); });
     if (candidates.empty() || candidates.front().cost == duration::max())
     {
         return std::nullopt;
--- a/src/predict_event_gap.cpp
+++ b/src/predict_event_gap.cpp
@@ -5,6 +5,7 @@
 #include "world.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace agateledge
 {
@@ -30,26 +31,62 @@
 
 } // namespace
 
-duration pause_cost(world const &w, instance_state const &instance,
-                    int unread_tokens)
+namespace
+{
+
+/// @return predicted gap between two events of the engine's streams while it
+///         prefills its unread prompts and `unread_tokens` more
+duration predict_event_gap(world const &w, instance_state const &instance,
+                           int unread_tokens, duration present)
+{
+    auto const *profile =
+        find_service(*w.proxy.routing, instance.definition.service);
+    auto const event_time =
+        time_per_token * (profile == nullptr ? 1 : profile->tokens_per_event);
+    auto const tokens = static_cast<double>(
+        instance.unread_tokens + instance.peer_unread_tokens + unread_tokens);
+    return std::max<duration>(event_time, present) +
+           from_seconds(tokens / prefill_tokens_per_ms(w, instance) / 1e3);
+}
+
+/// @return the maximum gap of the service of an engine that decodes; none for
+///         other engines and without such a limit
+std::optional<duration> max_event_gap(world const &w,
+                                      instance_state const &instance)
 {
     auto const &definition = instance.definition;
-    auto const bound = w.proxy.max_event_gaps.find(definition.service);
+    auto const found = w.proxy.max_event_gaps.find(definition.service);
     if (definition.role == engine_role::prefill ||
-        bound == w.proxy.max_event_gaps.end())
+        found == w.proxy.max_event_gaps.end())
+    {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+} // namespace
+
+duration pause_cost(world const &w, instance_state const &instance,
+                    int unread_tokens)
+{
+    auto const limit = max_event_gap(w, instance);
+    if (!limit)
     {
         return duration(0);
     }
-    auto const *profile = find_service(*w.proxy.routing, definition.service);
-    auto const event_time =
-        time_per_token * (profile == nullptr ? 1 : profile->tokens_per_event);
-    auto const tokens = static_cast<double>(
-        instance.unread_tokens + instance.peer_unread_tokens + unread_tokens);
-    auto const prefill_s = tokens / prefill_tokens_per_ms(w, instance) / 1e3;
-    auto const pause_s =
-        to_seconds(std::max<duration>(event_time, current_pause(w, instance))) +
-        prefill_s;
-    return from_seconds(pause_s * pause_s / to_seconds(bound->second));
+    auto const gap_s = to_seconds(predict_event_gap(
+        w, instance, unread_tokens, current_pause(w, instance)));
+    return from_seconds(gap_s * gap_s / to_seconds(*limit));
+}
+
+bool delays_streams(world const &w, instance_state const &instance,
+                    int unread_tokens)
+{
+    auto const limit = max_event_gap(w, instance);
+    bool const idle =
+        instance.open_calls.empty() && instance.peer_open_calls == 0;
+    return limit && !idle &&
+           predict_event_gap(w, instance, unread_tokens, duration(0)) > *limit;
 }
 
 void update_pause_estimate(world const &w, instance_state &instance,
--- a/src/predict_event_gap.hpp
+++ b/src/predict_event_gap.hpp
@@ -25,6 +25,12 @@
 duration pause_cost(world const &w, instance_state const &instance,
                     int unread_tokens);
 
+/// @return true when the engine has open streams and prefilling this prompt
+///         between their events, after the prompts that it has yet to prefill,
+///         would exceed the maximum event gap of the service
+bool delays_streams(world const &w, instance_state const &instance,
+                    int unread_tokens);
+
 /// Updates the estimated pause of an instance from the time between two events
 /// of a stream.
 void update_pause_estimate(world const &w, instance_state &instance,
