Report loads every 30 ms in small fleets

Cause: in the 100 ms between two reports, all daemons chose the same engines without knowing of each other: at 600 short prompts a second, 60 to 120 ms of prefill beyond the prediction, against targets of 250 ms.

--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -26,7 +26,7 @@
 
 /// Interval of the reports; grows with the fleet between these limits. The
 /// prefill of a 3,000-token prompt takes about as long as such an interval.
-constexpr duration min_report_interval = milliseconds(100);
+constexpr duration min_report_interval = milliseconds(30);
 constexpr double max_daemons_at_min_interval = 40;
 constexpr duration max_report_interval = milliseconds(250);
 
@@ -34,7 +34,7 @@
 constexpr duration report_lifetime = seconds(1);
 
 /// Shortest time between two sums over the received reports.
-constexpr duration sum_interval = milliseconds(40);
+constexpr duration sum_interval = milliseconds(10);
 
 constexpr char const *hub_hash_key = "load_hub";
 
