Learn the event time, and bound the reports of all daemons

Cause: the time of an event was a constant from two deployments; the shorter report interval would have raised the number of reports in large fleets. Change: the gap between two events at an engine that prefills nothing is measured by service. The interval grows from 12 daemons on, so that a fleet sends 400 reports a second as before.

--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -24,10 +24,12 @@
 /// Largest fleet in which each daemon reports directly to all others.
 constexpr std::size_t max_mesh_daemons = 9;
 
-/// Interval of the reports; grows with the fleet between these limits. The
-/// prefill of a 3,000-token prompt takes about as long as such an interval.
+/// Interval of the reports; grows with the fleet between these limits, which
+/// bound the reports of all daemons to 400 a second. In an interval, daemons
+/// send prompts to the same engine without knowing of each other, so it must be
+/// short beside the targets of first events.
 constexpr duration min_report_interval = milliseconds(30);
-constexpr double max_daemons_at_min_interval = 40;
+constexpr double max_daemons_at_min_interval = 12;
 constexpr duration max_report_interval = milliseconds(250);
 
 /// Age after which a report is ignored.
--- a/src/predict_event_gap.cpp
+++ b/src/predict_event_gap.cpp
@@ -13,9 +13,14 @@
 namespace
 {
 
-/// Time in which a busy engine generates one token of each stream. Idle engines
-/// of the known deployments take 2.6 to 5.2 ms; a full batch takes longer.
-constexpr duration time_per_token = milliseconds(6);
+/// Time in which an engine generates one token of each stream, until the event
+/// gaps of the service have been measured.
+constexpr duration initial_time_per_token = milliseconds(6);
+
+/// Weights of a measured event time below and above the present estimate.
+/// Samples above it count less: prompts of other daemons prolong gaps too.
+constexpr double shorter_weight = 0.1;
+constexpr double longer_weight = 0.02;
 
 /// Weight of a new pause sample.
 constexpr double pause_weight = 0.2;
@@ -34,18 +39,31 @@
 namespace
 {
 
+/// @return time between two events of a stream at an engine of the service that
+///         prefills no prompt
+duration undisturbed_event_time(world const &w, std::string const &service)
+{
+    auto const found = w.proxy.event_times.find(service);
+    if (found != w.proxy.event_times.end())
+    {
+        return found->second;
+    }
+    auto const *profile = find_service(*w.proxy.routing, service);
+    return initial_time_per_token *
+           (profile == nullptr ? 1 : profile->tokens_per_event);
+}
+
+/// @param present gap that was seen lately; a lower limit of the result
 /// @return predicted gap between two events of the engine's streams while it
 ///         prefills its unread prompts and `unread_tokens` more
 duration predict_event_gap(world const &w, instance_state const &instance,
                            int unread_tokens, duration present)
 {
-    auto const *profile =
-        find_service(*w.proxy.routing, instance.definition.service);
     auto const event_time =
-        time_per_token * (profile == nullptr ? 1 : profile->tokens_per_event);
+        undisturbed_event_time(w, instance.definition.service);
     auto const tokens = static_cast<double>(
         instance.unread_tokens + instance.peer_unread_tokens + unread_tokens);
-    return std::max<duration>(event_time, present) +
+    return std::max(event_time, present) +
            from_seconds(tokens / prefill_tokens_per_ms(w, instance) / 1e3);
 }
 
@@ -89,9 +107,18 @@
            predict_event_gap(w, instance, unread_tokens, duration(0)) > *limit;
 }
 
-void update_pause_estimate(world const &w, instance_state &instance,
-                           duration pause)
+void update_pause_estimate(world &w, instance_state &instance, duration pause)
 {
+    if (instance.unread_tokens + instance.peer_unread_tokens <= 0)
+    {
+        auto const &service = instance.definition.service;
+        auto const estimate = to_seconds(undisturbed_event_time(w, service));
+        auto const sample = to_seconds(pause);
+        auto const weight =
+            sample < estimate ? shorter_weight : longer_weight;
+        w.proxy.event_times[service] =
+            from_seconds(estimate + weight * (sample - estimate));
+    }
     auto const before = to_seconds(current_pause(w, instance));
     instance.pause =
         from_seconds(before + pause_weight * (to_seconds(pause) - before));
--- a/src/predict_event_gap.hpp
+++ b/src/predict_event_gap.hpp
@@ -31,10 +31,9 @@
 bool delays_streams(world const &w, instance_state const &instance,
                     int unread_tokens);
 
-/// Updates the estimated pause of an instance from the time between two events
-/// of a stream.
-void update_pause_estimate(world const &w, instance_state &instance,
-                           duration pause);
+/// Updates the estimated pause of an instance, and the undisturbed event time
+/// of its service, from the time between two events of a stream.
+void update_pause_estimate(world &w, instance_state &instance, duration pause);
 
 } // namespace agateledge
 
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -105,6 +105,9 @@
     /// Estimated prompt tokens that an idle engine prefills in a millisecond,
     /// by service and role.
     std::map<std::pair<std::string, engine_role>, double> prefill_speeds;
+    /// Estimated time between two events of a stream at an engine that
+    /// prefills nothing meanwhile, by service.
+    std::map<std::string, duration> event_times;
     proxy_metrics metrics;
     std::optional<instant> stopping_since;
     /// Last time at which a request was open during shutdown.
