--- a/harness/engine_simulator.cpp
+++ b/harness/engine_simulator.cpp
@@ -26,9 +26,9 @@
 {
     auto const number = daemon_.send(path, 1, 0, prompt_tokens);
     auto const &routes = daemon_.state.proxy.routing->routes;
-    auto const route = std::ranges::find_if(
-        routes, [&path](route_definition const &item)
-        { return path.starts_with(item.path_prefix); });
+    auto const route =
+        std::ranges::find_if(routes, [&path](route_definition const &item)
+                             { return path.starts_with(item.path_prefix); });
     caller entry;
     entry.path = path;
     entry.sent_at = daemon_.state.now;
@@ -46,8 +46,8 @@
         item.streams.push_back({call.attempt, events_per_stream, event_time});
         return;
     }
-    auto const tokens = daemon_.state.proxy.requests.find(call.attempt)
-                            ->unread_tokens;
+    auto const tokens =
+        daemon_.state.proxy.requests.find(call.attempt)->unread_tokens;
     item.prompts.push_back({call.attempt, call.priority.value_or(5),
                             static_cast<double>(tokens), call.stage});
 }
@@ -69,8 +69,8 @@
         }
         else
         {
-            entry.longest_gap = std::max(
-                entry.longest_gap, daemon_.state.now - entry.last_event);
+            entry.longest_gap = std::max(entry.longest_gap,
+                                         daemon_.state.now - entry.last_event);
         }
         entry.last_event = daemon_.state.now;
         return;
@@ -109,8 +109,8 @@
         }
         stream.next_event += event_time;
         auto const number = events_per_stream - --stream.events_left;
-        daemon_.reply_bytes(stream.attempt, "id: " + std::to_string(number) +
-                                                "\ndata: a\n\n");
+        daemon_.reply_bytes(stream.attempt,
+                            "id: " + std::to_string(number) + "\ndata: a\n\n");
         if (stream.events_left == 0)
         {
             daemon_.reply_ends(stream.attempt, proxy_event_kind::finished);
@@ -125,8 +125,8 @@
     auto left = to_seconds(step) * 1e3;
     while (left > 0 && !item.prompts.empty())
     {
-        auto const next = std::ranges::min_element(
-            item.prompts, {}, &pending_prompt::priority);
+        auto const next = std::ranges::min_element(item.prompts, {},
+                                                   &pending_prompt::priority);
         auto const used = std::min(left, next->tokens / tokens_per_ms);
         next->tokens -= used * tokens_per_ms;
         left -= used;
@@ -156,7 +156,8 @@
     {
         bool const open = !entry.first_event && !entry.refused && !entry.gone;
         auto const *request = daemon_.state.proxy.requests.find(number);
-        if (open && request != nullptr && request->begin_by <= daemon_.state.now)
+        if (open && request != nullptr &&
+            request->begin_by <= daemon_.state.now)
         {
             entry.gone = true;
             daemon_.state.in.proxy_disconnects.push_back({number});
--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -184,15 +184,14 @@
     {
         return;
     }
-    auto &unread = attempt.background ? instance->background_tokens
-                                      : instance->unread_tokens;
-    unread -= attempt.unread_tokens;
+    instance->add_unread_tokens(-attempt.unread_tokens, attempt.background);
     if (auto const *request = w.proxy.requests.find(attempt.request))
     {
         instance->cache.mark_prefilled(request->chain);
     }
     if (attempt.background)
     {
+        // Its wait says nothing about the wait of calls that it yields to.
         return;
     }
     update_first_event_estimate(w, *instance, attempt.sent_at,
--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -114,8 +114,7 @@
         auto const &tried = request.tried_instances;
         bool const already_tried =
             std::ranges::find(tried, instance->definition.id) != tried.end();
-        (already_tried ? retried : untried)
-            .push_back({instance, {}, {}, 0, 0});
+        (already_tried ? retried : untried).push_back({instance, {}, {}, 0, 0});
     }
     return untried.empty() ? retried : untried;
 }
@@ -369,10 +368,12 @@
                 handover == duration::max() ? handover : item.cost + handover;
         }
     }
-    std::ranges::sort(
-        candidates, {}, [](candidate const &item)
-        { return std::tuple(item.cost == duration::max(), item.delays_streams,
-                            item.cost); });
+    std::ranges::sort(candidates, {},
+                      [](candidate const &item)
+                      {
+                          return std::tuple(item.cost == duration::max(),
+                                            item.delays_streams, item.cost);
+                      });
     if (candidates.empty() || candidates.front().cost == duration::max())
     {
         return std::nullopt;
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -75,9 +75,10 @@
     instance_health health;
     /// Calls of this daemon that are open.
     std::unordered_set<attempt_number> open_calls;
-    /// Prompt tokens of this daemon's open calls still to be prefilled.
+    /// Prompt tokens of this daemon's open calls still to be prefilled, without
+    /// background calls.
     std::int64_t unread_tokens = 0;
-    /// The same of background calls, which yield to all others.
+    /// Prompt tokens of its background calls still to be prefilled.
     std::int64_t background_tokens = 0;
     /// The engine's key in load reports; see `load_key_of`.
     std::uint64_t load_key = 0;
@@ -92,6 +93,12 @@
     instant pause_seen_at{};
     prompt_cache_view cache;
     cache_feed_state cache_feed;
+
+    /// Changes the number of tokens still to be prefilled.
+    void add_unread_tokens(std::int64_t tokens, bool background)
+    {
+        (background ? background_tokens : unread_tokens) += tokens;
+    }
 };
 
 /// Instances of the directory by id.
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -52,10 +52,9 @@
     call.connect_timeout = std::min(remaining, max_connect_time);
     if (request.content->prompt)
     {
-        call.priority =
-            background ? least_urgent_priority
-                       : std::clamp(request.route->priority, 0,
-                                    least_urgent_priority - 1);
+        call.priority = background ? least_urgent_priority
+                                   : std::clamp(request.route->priority, 0,
+                                                least_urgent_priority - 1);
     }
     if (request.retained_prefill)
     {
@@ -111,9 +110,7 @@
                         choice.prediction.unread_tokens,
                         instance.open_calls.size(), false, background});
     instance.open_calls.insert(attempt);
-    auto &unread =
-        background ? instance.background_tokens : instance.unread_tokens;
-    unread += choice.prediction.unread_tokens;
+    instance.add_unread_tokens(choice.prediction.unread_tokens, background);
     instance.cache.record_prompt(request.chain, w.now);
     request.attempt = attempt;
     request.tried_instances.push_back(choice.instance);
--- a/src/predict_event_gap.cpp
+++ b/src/predict_event_gap.cpp
@@ -34,11 +34,6 @@
                              pause_half_life_s);
 }
 
-} // namespace
-
-namespace
-{
-
 /// @return time between two events of a stream at an engine of the service that
 ///         prefills no prompt
 duration undisturbed_event_time(world const &w, std::string const &service)
@@ -53,17 +48,17 @@
            (profile == nullptr ? 1 : profile->tokens_per_event);
 }
 
-/// @param present gap that was seen lately; a lower limit of the result
+/// @param min_gap lower limit of the gap without these prompts
 /// @return predicted gap between two events of the engine's streams while it
 ///         prefills its unread prompts and `unread_tokens` more
 duration predict_event_gap(world const &w, instance_state const &instance,
-                           int unread_tokens, duration present)
+                           int unread_tokens, duration min_gap)
 {
     auto const event_time =
         undisturbed_event_time(w, instance.definition.service);
     auto const tokens = static_cast<double>(
         instance.unread_tokens + instance.peer_unread_tokens + unread_tokens);
-    return std::max(event_time, present) +
+    return std::max(event_time, min_gap) +
            from_seconds(tokens / prefill_tokens_per_ms(w, instance) / 1e3);
 }
 
@@ -114,8 +109,7 @@
         auto const &service = instance.definition.service;
         auto const estimate = to_seconds(undisturbed_event_time(w, service));
         auto const sample = to_seconds(pause);
-        auto const weight =
-            sample < estimate ? shorter_weight : longer_weight;
+        auto const weight = sample < estimate ? shorter_weight : longer_weight;
         w.proxy.event_times[service] =
             from_seconds(estimate + weight * (sample - estimate));
     }
--- a/src/proxy_lifecycle.cpp
+++ b/src/proxy_lifecycle.cpp
@@ -52,9 +52,8 @@
     auto *instance = w.proxy.instances.find(call->instance);
     if (instance != nullptr && instance->open_calls.erase(attempt) != 0)
     {
-        auto &unread = call->background ? instance->background_tokens
-                                        : instance->unread_tokens;
-        unread -= call->answered ? 0 : call->unread_tokens;
+        instance->add_unread_tokens(call->answered ? 0 : -call->unread_tokens,
+                                    call->background);
         record_result(w, *instance, result);
     }
     if (auto *request = w.proxy.requests.find(call->request);
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -96,7 +96,7 @@
     std::size_t calls_before = 0;
     bool answered = false;
     /// The call was predicted to miss its target and was sent with the least
-    /// urgent priority; it counts in no prediction for urgent calls.
+    /// urgent priority; predictions for other calls ignore it.
     bool background = false;
 };
 
