--- a/src/place_proxied_requests.hpp
+++ b/src/place_proxied_requests.hpp
@@ -12,8 +12,8 @@
 ///
 /// Under more load than the engines carry, requests are not served in order of
 /// arrival, which would make all of them late: a request whose first event is
-/// predicted after its target is sent with the least urgent priority, so that it
-/// yields to those that can still be in time.
+/// predicted after its target is sent with the least urgent priority, so that
+/// it yields to those that can still be in time.
 ///
 /// @param w state of the daemon
 void place_proxied_requests(world &w);
