Sum the load reports at most three times an interval

Cause: the sum over received reports, paced by a constant of 10 ms since the reports come every 30 ms, costs more the larger the fleet, while reports get rarer there. Change: the pace follows the report interval.

--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -35,8 +35,9 @@
 /// Age after which a report is ignored.
 constexpr duration report_lifetime = seconds(1);
 
-/// Shortest time between two sums over the received reports.
-constexpr duration sum_interval = milliseconds(10);
+/// Maximum number of sums over the received reports in a report interval. The
+/// cost of a sum grows with the fleet, as the interval does.
+constexpr int max_sums_per_interval = 3;
 
 constexpr char const *hub_hash_key = "load_hub";
 
@@ -245,7 +246,7 @@
         return;
     }
     load.changed = false;
-    load.next_sum = w.now + sum_interval;
+    load.next_sum = w.now + report_interval(w) / max_sums_per_interval;
     auto const others = remote_loads(w);
     for (auto &[id, instance] : w.proxy.instances.all())
     {
