Log how a reply ended, at which engine and after which event

A stream that ended too early left one line, outcome answered, that named neither its engine nor its last event, so that a truncated reply could not be told from a continuation that was none or from lost events.

request_finished now has the instance that was called last, the framing of its reply, the number of times the stream was continued and the last event. A reply whose connection was closed before the end of its body is a kind of its own: call_failed gives it as the reason, and truncated_replies_total counts it. The decisions are unchanged.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -78,6 +78,7 @@
     if (may_repeat && may_resume &&
         retry_proxied_request(w, *request, arrived, pause, reason))
     {
+        request->resumes += request->answering ? 1 : 0;
         w.proxy.metrics.resumed_streams += request->answering ? 1 : 0;
         return;
     }
@@ -389,6 +390,12 @@
             w, *attempt, true,
             "the connection failed after the request may have been sent");
         return;
+    case proxy_event_kind::truncated:
+        ++w.proxy.metrics.truncated_replies;
+        handle_call_failure(
+            w, *attempt, true,
+            "the connection was closed before the end of the reply");
+        return;
     }
 }
 
--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -256,8 +256,9 @@
     }
     if (count == 0)
     {
-        finish(is_complete() ? http_outcome::answered
-                             : http_outcome::failed_after_send);
+        truncated_ = !is_complete();
+        finish(truncated_ ? http_outcome::failed_after_send
+                          : http_outcome::answered);
         return;
     }
     body_bytes_ += count;
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -88,6 +88,10 @@
 
     void resume();
 
+    /// @return true when the call failed because the connection was closed
+    ///         before the end of the reply's body
+    bool truncated() const { return truncated_; }
+
 private:
     struct callbacks;
 
@@ -119,6 +123,7 @@
     bool has_total_timeout_ = false;
     bool paused_ = false;
     bool reading_ = false;
+    bool truncated_ = false;
     bool ended_ = false;
 };
 
--- a/src/instance_client.cpp
+++ b/src/instance_client.cpp
@@ -165,7 +165,9 @@
     {
         proxy_event event;
         event.attempt = call.attempt;
-        event.kind = kind_of(outcome);
+        event.kind = open.http && open.http->truncated()
+                         ? proxy_event_kind::truncated
+                         : kind_of(outcome);
         loop_.input().proxy_events.push_back(std::move(event));
     }
     remove_call(call.attempt);
--- a/src/proxy_lifecycle.cpp
+++ b/src/proxy_lifecycle.cpp
@@ -166,7 +166,14 @@
          {"target_ms", milliseconds_text(route.target_latency)},
          {"longest_pause_ms", milliseconds_text(request->longest_event_gap)},
          {"late", late ? "true" : "false"},
-         {"sends", std::to_string(request->sends)}},
+         {"sends", std::to_string(request->sends)},
+         {"instance", request->tried_instances.empty()
+                          ? ""
+                          : request->tried_instances.back()},
+         {"framing",
+          request->head ? std::string(name_of(request->head->framing)) : ""},
+         {"resumes", std::to_string(request->resumes)},
+         {"last_event", request->last_event}},
         late || outcome != "answered");
     remove_request(w, number);
 }
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_PROXY_MESSAGES_HPP
 #define AGATELEDGE_PROXY_MESSAGES_HPP
 
+#include "body_framing.hpp"
 #include "ids.hpp"
 #include "result_code.hpp"
 #include "shared_text.hpp"
@@ -142,6 +143,7 @@
 struct proxy_reply_head
 {
     int status = 0;
+    body_framing framing = body_framing::chunked;
     /// Headers to forward to the caller.
     header_list headers;
     /// The instance reports that it did not execute the request.
@@ -166,6 +168,8 @@
     failed_before_send,
     /// The call failed after part of the request may have been sent.
     failed_after_send,
+    /// The connection was closed before the end of the reply's body.
+    truncated,
 };
 
 /// Progress of a call to an instance.
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -32,6 +32,7 @@
     counter_map load_reports;
     std::uint64_t retries = 0;
     std::uint64_t retries_denied = 0;
+    std::uint64_t truncated_replies = 0;
     std::uint64_t resumed_streams = 0;
     std::uint64_t prefill_handovers = 0;
     /// Prompt tokens that were predicted to be cached and to be prefilled.
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -61,6 +61,8 @@
     bool prefill_failed = false;
     /// The status line and headers have been sent to the caller.
     bool answering = false;
+    /// Number of calls that continued the stream of an earlier one.
+    int resumes = 0;
     /// Id of the last event that was sent to the caller.
     std::string last_event;
     /// Received bytes of an event that is not complete yet.
