Tell a truncated chunked reply by whether libsoup read its last chunk

Callers got streams that ended as complete before their last event.

libsoup reports the end of a chunked body also when the connection ends between two chunks. http_call then guessed: complete if the close was announced or if a peek at the socket did not show a close. The first is wrong for an engine that breaks off, and the second for one that closes right behind its last chunk.

At the end of the body the call now closes its own connection and reads once more. libsoup does not use the connection after the last chunk, so that the read ends at once; before it, the read needs the connection and fails. Nothing is inferred from headers or from the socket.

A connection type of our own, registered with GIO for TCP, was tried first. It crashed at the third connection ("G_TYPE_IS_OBJECT" failed in g_object_new): GIO does not seem to support a second registration.

Not covered: replies on connections that are reused.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -1,7 +1,5 @@
 #include "http_call.hpp"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 
 namespace agateledge
@@ -67,12 +65,6 @@
     return message;
 }
 
-bool closes_after_reply(SoupMessageHeaders *headers)
-{
-    return soup_message_headers_header_contains(headers, "Connection",
-                                                "close") == TRUE;
-}
-
 } // namespace
 
 struct http_call::callbacks
@@ -281,7 +273,7 @@
     }
 }
 
-bool http_call::is_complete() const
+bool http_call::is_complete()
 {
     // libsoup also reports a normal end of the body when the connection closes
     // within a body of known length or between two chunks.
@@ -291,23 +283,19 @@
     case SOUP_ENCODING_CONTENT_LENGTH:
         return body_bytes_ == soup_message_headers_get_content_length(headers);
     case SOUP_ENCODING_CHUNKED:
-        // An engine that shuts down sends "Connection: close" and closes the
-        // connection after its complete reply.
-        return closes_after_reply(headers) || !peer_closed();
+        return !socket_ || has_last_chunk();
     default:
         return true;
     }
 }
 
-bool http_call::peer_closed() const
+bool http_call::has_last_chunk()
 {
-    if (!socket_)
-    {
-        return false;
-    }
-    char byte = 0;
-    return recv(g_socket_get_fd(socket_.get()), &byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) == 0;
+    // After the last chunk, libsoup ends each read without the connection.
+    // Before it, a read needs the connection and fails when that is closed.
+    g_socket_close(socket_.get(), nullptr);
+    return g_input_stream_read(stream_.get(), buffer_.data(), buffer_.size(),
+                               nullptr, nullptr) == 0;
 }
 
 void http_call::close_connection()
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -103,8 +103,11 @@
     void read_next();
     void handle_read(gssize count);
     void deliver(std::string_view bytes);
-    bool is_complete() const;
-    bool peer_closed() const;
+    /// Closes the call's own connection if the body is chunked.
+    ///
+    /// @return true when the end of the body is the declared one
+    bool is_complete();
+    bool has_last_chunk();
     void close_connection();
     void finish(http_outcome outcome);
     void fail();
--- a/test/error/truncated_reply_test.cpp
+++ b/test/error/truncated_reply_test.cpp
@@ -66,6 +66,22 @@
               http_outcome::failed_after_send);
 }
 
+TEST(truncated_reply, a_last_chunk_without_its_empty_line_has_failed)
+{
+    auto const reply = std::string(closing_head) + "4\r\nabcd\r\n0\r\n";
+    EXPECT_EQ(outcome_of(reply, connection_ending::close),
+              http_outcome::failed_after_send);
+    EXPECT_EQ(outcome_of(reply, connection_ending::reset),
+              http_outcome::failed_after_send);
+}
+
+TEST(truncated_reply, an_announced_close_does_not_hide_a_reset)
+{
+    auto const reply = std::string(closing_head) + "4\r\nabcd\r\n";
+    EXPECT_EQ(outcome_of(reply, connection_ending::reset),
+              http_outcome::failed_after_send);
+}
+
 TEST(truncated_reply, a_chunked_body_without_its_end_has_failed)
 {
     auto const reply = std::string(chunked_head) + "4\r\nabcd\r\n";
