Accept only usable directory entries as instances

Cause: `parse_socket_address` also serves listeners, which may ask for port 0, and passed text with a zero byte on to GLib.

--- a/src/socket_address.cpp
+++ b/src/socket_address.cpp
@@ -1,10 +1,31 @@
 #include "socket_address.hpp"
 
 #include <charconv>
+#include <cstdint>
+#include <optional>
 
 namespace agateledge
 {
 
+namespace
+{
+
+/// @return the IP address in `text`, without the brackets that an IPv6 address
+///         must have; nothing when they are missing or misplaced
+std::optional<std::string> host_of(std::string const &text)
+{
+    bool const bracketed = text.starts_with('[') && text.ends_with(']');
+    bool const has_colon = text.find(':') != std::string::npos;
+    // The address functions of GLib read only up to a zero byte.
+    if (bracketed != has_colon || text.find('\0') != std::string::npos)
+    {
+        return std::nullopt;
+    }
+    return bracketed ? text.substr(1, text.size() - 2) : text;
+}
+
+} // namespace
+
 gobject_ptr<GSocketAddress> parse_socket_address(std::string const &text)
 {
     auto const colon = text.rfind(':');
@@ -12,10 +33,10 @@
     {
         return nullptr;
     }
-    auto host = text.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']'))
+    auto const host = host_of(text.substr(0, colon));
+    if (!host)
     {
-        host = host.substr(1, host.size() - 2);
+        return nullptr;
     }
     std::uint16_t port = 0;
     auto const end = text.data() + text.size();
@@ -26,7 +47,14 @@
         return nullptr;
     }
     return gobject_ptr<GSocketAddress>(
-        g_inet_socket_address_new_from_string(host.c_str(), port));
+        g_inet_socket_address_new_from_string(host->c_str(), port));
+}
+
+bool is_peer_address(std::string const &text)
+{
+    auto const address = parse_socket_address(text);
+    return address && g_inet_socket_address_get_port(
+                          G_INET_SOCKET_ADDRESS(address.get())) != 0;
 }
 
 } // namespace agateledge
