Send no load reports to a daemon's row without a usable address

Seen: in a fleet of more than nine daemons, a row of the daemons' table without a usable address could be chosen as the hub of its data centre. The daemons there then reported to nobody, and each placed by its own calls only.

All daemons read the same rows, so that they still agree on the hub.

--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -56,7 +56,7 @@
 }
 
 /// @return name of the daemon that is the hub of a data centre; empty when no
-///         daemon is known there
+///         daemon with an address is known there
 std::string hub_of(world const &w, std::string const &data_centre)
 {
     std::string hub;
@@ -72,7 +72,7 @@
     };
     for (auto const &[name, peer] : w.proxy.daemons)
     {
-        if (peer.data_centre == data_centre)
+        if (peer.data_centre == data_centre && !peer.address.empty())
         {
             consider(name);
         }
--- a/test/correctness/proxy_load_test.cpp
+++ b/test/correctness/proxy_load_test.cpp
@@ -239,6 +239,26 @@
     return daemon.state.proxy.instances.find("decode-1")->peer_unread_tokens;
 }
 
+// A daemon that ranks highest but has no usable address cannot collect reports.
+TEST(proxy_load, a_row_without_an_address_is_no_hub)
+{
+    simulated_fleet fleet(30, 3, 3);
+    for (auto &daemon : fleet.members)
+    {
+        for (int i = 0; i < 60; ++i)
+        {
+            daemon->state.proxy.daemons["odd-" + std::to_string(i)] = {
+                daemon->state.now + hours(1), "",
+                "zone-" + std::to_string(i % 3)};
+        }
+    }
+    fleet.advance(milliseconds(500));
+    add_work(*fleet.members.front(), "decode-2");
+    fleet.advance(seconds(1));
+    auto const known = known_tokens(fleet, "decode-2");
+    EXPECT_EQ(std::ranges::count(known, 5000), 29);
+}
+
 TEST(proxy_load, old_and_unknown_reports_are_dropped)
 {
     simulated_fleet fleet(2, 1, 3);
--- a/test/error/odd_entry_test.cpp
+++ b/test/error/odd_entry_test.cpp
@@ -312,4 +312,33 @@
     EXPECT_EQ(store.state.proxy.instances.all().size(), 1U);
 }
 
+TEST(odd_entry, an_unusable_row_of_a_daemon_gets_no_reports)
+{
+    followed_store store("agateledge");
+    std::vector<std::string> values{"", "7", "[]", "\"*\""};
+    for (std::string const address :
+         {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1\\u0000:80", ":80", "x"})
+    {
+        values.push_back(quoted_base64(R"({"data_centre":"z","address":")" +
+                                       address + "\"}"));
+    }
+    values.push_back(quoted_base64(repeated("[", 100'000)));
+    values.push_back(quoted_base64(R"({"data_centre":7,"address":{"a":[1]}})"));
+    for (std::size_t i = 0; i < values.size(); ++i)
+    {
+        store.first_rows.push_back(row_text("odd-" + std::to_string(i),
+                                            ++store.first_version, values[i]));
+    }
+    store.first_rows.push_back(row_text(
+        "sound", ++store.first_version,
+        quoted_base64(R"({"data_centre":"z","address":"10.0.0.1:80"})")));
+    auto const &daemons = store.state.proxy.daemons;
+    EXPECT_TRUE(
+        store.follow_until([&daemons] { return daemons.contains("sound"); }));
+    for (auto const &[name, daemon] : daemons)
+    {
+        EXPECT_EQ(daemon.address, name == "sound" ? "10.0.0.1:80" : "") << name;
+    }
+}
+
 } // namespace
