--- /dev/null
+++ b/test/error/odd_number_test.cpp
@@ -0,0 +1,117 @@
+// Guards against numbers that are valid JSON but too large, too small or
+// negative for the types and the arithmetic that use them.
+#include "cache_messages.hpp"
+#include "directory_codec.hpp"
+#include "platform_codec.hpp"
+#include "prompt_cache_view.hpp"
+#include "proxy_codec.hpp"
+
+#include <glib.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <string>
+
+namespace
+{
+
+using namespace agateledge;
+
+/// Longer than any bound of a deployment, short enough to be added to a time.
+constexpr duration max_time = hours(24 * 365);
+constexpr int max_count = 1'000'000;
+
+constexpr std::array numbers{"-1",
+                             "-9223372036854775808",
+                             "9223372036854775807",
+                             "1e400",
+                             "1180591620717411303424",
+                             "-1e30",
+                             "1e30",
+                             "4294967296",
+                             "1e-400"};
+
+/// @return true for a number that some versions of the parser refuse
+bool is_beyond_double(std::string const &number)
+{
+    return number == "1e400" || number == "1e-400";
+}
+
+absl::StatusOr<routing_configuration>
+configuration_with(std::string const &number)
+{
+    std::string text =
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",)"
+        R"("route_type":"streaming","service":"s","timeout_ms":N,)"
+        R"("target_latency_ms":N,"target_gap_ms":N,"priority":N,)"
+        R"("max_attempts":N},{"host":"h","prefix":"/q/","route_type":)"
+        R"("idempotent","traffic_split":[{"service":"s","weight":N}]}],)"
+        R"("services":[{"name":"s","engine":{"kv_capacity":N,)"
+        R"("token_kv_bytes":N,"link_mbps":N,"stride":N}}],)"
+        R"("limits":{"max_header_bytes":N,"max_body_bytes":N,)"
+        R"("idle_timeout_ms":N}})";
+    for (auto place = text.find('N'); place != std::string::npos;
+         place = text.find('N', place + number.size()))
+    {
+        text.replace(place, 1, number);
+    }
+    auto const config = platform::decode_configuration(text);
+    EXPECT_TRUE(config.ok() || is_beyond_double(number))
+        << number << ": " << config.status();
+    return config;
+}
+
+void expect_time(duration time)
+{
+    EXPECT_GE(time.count(), 0);
+    EXPECT_LE(time, max_time);
+}
+
+void expect_number(double number)
+{
+    EXPECT_GE(number, 0);
+    EXPECT_LE(number, std::numeric_limits<float>::max());
+}
+
+TEST(odd_number, a_configuration_keeps_within_what_its_types_can_compute)
+{
+    for (std::string const number : numbers)
+    {
+        SCOPED_TRACE(number);
+        auto const decoded = configuration_with(number);
+        if (!decoded.ok())
+        {
+            continue;
+        }
+        auto const &config = *decoded;
+        ASSERT_EQ(config.routes.size(), 2U);
+        ASSERT_EQ(config.services.size(), 1U);
+        auto const &route = config.routes.front();
+        expect_time(route.timeout);
+        expect_time(route.target_latency);
+        expect_time(route.max_event_gap.value_or(duration(0)));
+        expect_time(route.stream_idle_timeout());
+        expect_time(config.limits.idle_timeout);
+        EXPECT_GE(route.priority, 0);
+        EXPECT_LE(route.priority, max_count);
+        EXPECT_GE(route.max_attempts, 1);
+        EXPECT_LE(route.max_attempts, max_count);
+        auto const &service = config.services.front();
+        EXPECT_GE(service.kv_capacity_tokens, 0);
+        EXPECT_GE(service.tokens_per_event, 1);
+        EXPECT_LE(service.tokens_per_event, max_count);
+        expect_number(service.kv_bytes_per_token);
+        expect_number(service.kv_bytes_per_ms);
+        for (auto const &part : config.routes.back().services)
+        {
+            EXPECT_GT(part.weight, 0);
+            expect_number(part.weight);
+        }
+        EXPECT_GT(config.limits.max_header_bytes, 0);
+        EXPECT_GE(config.limits.max_body_bytes, 0);
+    }
+}
+
+} // namespace
