--- a/test/error/odd_number_test.cpp
+++ b/test/error/odd_number_test.cpp
@@ -114,4 +114,23 @@
     }
 }
 
+TEST(odd_number, the_fault_of_a_configuration_is_short)
+{
+    auto const codec = platform::make_codec();
+    row_read read;
+    read.table = polled_table::configuration;
+    auto const text = R"({"version":7,"routes":[{"host":")" +
+                      std::string(100'000, 'h') + R"("}]})";
+    gchar *value = g_base64_encode(
+        reinterpret_cast<guchar const *>(text.data()), text.size());
+    auto const reply = codec.decode_row_read(
+        read, 200,
+        R"({"rows":[{"key":"config","row_version":3,"value":")" +
+            std::string(value) + R"("}],"row_version":4})");
+    g_free(value);
+    EXPECT_FALSE(reply.fault.empty());
+    EXPECT_EQ(reply.configuration, nullptr);
+    EXPECT_LT(reply.fault.size(), 1000U);
+}
+
 } // namespace
