Leave out cache changes with an impossible number of tokens

Seen: an engine that reported a huge or negative number of tokens for a cached part had it taken over after a cast whose result is undefined; a part of 2^31 - 1 tokens then overflowed the sums of the placement.

Cause: the number was cast to int without a check of its range.

Evidence: odd_number.a_cache_change_with_an_impossible_count_is_left_out; before, -1, -2^63, 2^63 - 1 and others were taken over as -1, -2^31 and 2^31 - 1 tokens.

--- a/test/error/odd_number_test.cpp
+++ b/test/error/odd_number_test.cpp
@@ -133,4 +133,29 @@
     EXPECT_LT(reply.fault.size(), 1000U);
 }
 
+TEST(odd_number, a_cache_change_with_an_impossible_count_is_left_out)
+{
+    auto const codec = platform::make_codec();
+    for (std::string const number : numbers)
+    {
+        auto const reply = codec.decode_cache_read(
+            {}, 200,
+            R"({"epoch":1,"next":)" + number + R"(,"events":[)" +
+                R"([1,"+","","a1",)" + number + R"(,"m"],)" +
+                R"([2,"+","","a2",5,"m"]]})");
+        if (is_beyond_double(number) && !reply.answered)
+        {
+            EXPECT_TRUE(reply.changes.empty());
+            continue;
+        }
+        EXPECT_TRUE(reply.answered);
+        std::vector<cache_change> possible{{"m", 0xa2, 5}};
+        if (number == "1e-400")
+        {
+            possible.insert(possible.begin(), {"m", 0xa1, 0});
+        }
+        EXPECT_EQ(reply.changes, possible) << number;
+    }
+}
+
 } // namespace
