--- a/test/error/odd_number_test.cpp
+++ b/test/error/odd_number_test.cpp
@@ -158,4 +158,25 @@
     }
 }
 
+TEST(odd_number, a_prompt_with_impossible_parts_has_no_shared_parts)
+{
+    auto const codec = platform::make_codec();
+    received_request received;
+    received.method = "POST";
+    received.target = "/a/b";
+    received.body = std::make_shared<std::string const>("x");
+    received.headers = {
+        {"Host", "a"},
+        {"Attempt-Id", "a1"},
+        {"Model", "m"},
+        {"Token-Count", "100,10"},
+        {"Prompt-Prefix", "a:2147483647,b:2147483647,c:2147483647,d:1"}};
+    auto const request = codec.decode_request(received);
+    ASSERT_TRUE(request.ok());
+    ASSERT_TRUE(request->prompt);
+    EXPECT_TRUE(std::ranges::all_of(shared_chain_of(*request->prompt),
+                                    [](prompt_chain_link const &link)
+                                    { return link.tokens >= 0; }));
+}
+
 } // namespace
