Take no KV handle that a header cannot hold

Seen: a handle with a line end or a zero byte in a prefill reply was taken over. The call that was to fetch the KV cache then went out without the header, or with a part of the handle.

Cause: any text was accepted as a handle.

--- a/test/error/odd_number_test.cpp
+++ b/test/error/odd_number_test.cpp
@@ -179,4 +179,21 @@
                                     { return link.tokens >= 0; }));
 }
 
+TEST(odd_number, a_handle_that_no_header_can_hold_is_no_handle)
+{
+    auto const codec = platform::make_codec();
+    EXPECT_EQ(codec.decode_prefill(R"({"kv_handle":"3fa09c41b7d5"})"),
+              "3fa09c41b7d5");
+    for (auto const *handle : {R"("a\r\nb")", R"("a\u0000b")", R"("a b")", "7",
+                               "1e400", "[]", "{}", "null"})
+    {
+        EXPECT_EQ(codec.decode_prefill(R"({"kv_handle":)" +
+                                       std::string(handle) + "}"),
+                  "")
+            << handle;
+    }
+    EXPECT_EQ(codec.decode_prefill(std::string(60'000, '[')), "");
+    EXPECT_EQ(codec.decode_prefill("7"), "");
+}
+
 } // namespace
