Treat a claim row with a wrong type as unreadable

Seen: a claim row that another writer left with a member of a wrong type or out of range ended the daemon at the next call with that key.

Cause: the conversions of the JSON library throw, and `claim_row_from_text` did not catch it.

Evidence: odd_table_row.a_claim_with_a_wrong_type_is_no_claim and a_booking_with_an_unreadable_claim_is_not_run_again; before, "it throws Json::LogicError with description "Type is not convertible to string"", which left the tick of the daemon.

Why it works: the row counts as unreadable, which is refused with the outcome unknown, so that nothing runs again. A recorded answer must have an HTTP status from 100 to 599.

--- a/src/claim_row.cpp
+++ b/src/claim_row.cpp
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdio>
 #include <string_view>
+#include <utility>
 
 namespace agateledge
 {
@@ -19,6 +20,9 @@
 constexpr std::array<std::string_view, 4> state_names{"claimed", "done",
                                                       "unknown", "not_run"};
 
+constexpr int lowest_http_status = 100;
+constexpr int highest_http_status = 599;
+
 std::string hex(std::uint64_t value)
 {
     std::array<char, 17> text{};
@@ -33,6 +37,30 @@
     return hex(hash.high64) + hex(hash.low64);
 }
 
+/// Throws `Json::Exception` when a member has a wrong type or is out of range.
+///
+/// @return the row, or nothing when its state is unknown or its status is not
+///         an HTTP status
+std::optional<claim_row> read_row(Json::Value const &document)
+{
+    auto const name = document["state"].asString();
+    auto const state = std::ranges::find(state_names, name);
+    if (state == state_names.end())
+    {
+        return std::nullopt;
+    }
+    claim_row row;
+    row.attempt = document["attempt"].asString();
+    row.fingerprint = document["fingerprint"].asString();
+    row.state = static_cast<claim_row_state>(state - state_names.begin());
+    row.http_status = document["status"].asInt();
+    row.body = document["body"].asString();
+    bool const valid = row.state != claim_row_state::done ||
+                       (row.http_status >= lowest_http_status &&
+                        row.http_status <= highest_http_status);
+    return valid ? std::optional(std::move(row)) : std::nullopt;
+}
+
 } // namespace
 
 std::string claim_key_of(request_arrival const &arrival)
@@ -69,19 +97,14 @@
     {
         return std::nullopt;
     }
-    auto const name = (*document)["state"].asString();
-    auto const state = std::ranges::find(state_names, name);
-    if (state == state_names.end())
+    try
+    {
+        return read_row(*document);
+    }
+    catch (Json::Exception const &)
     {
         return std::nullopt;
     }
-    claim_row row;
-    row.attempt = (*document)["attempt"].asString();
-    row.fingerprint = (*document)["fingerprint"].asString();
-    row.state = static_cast<claim_row_state>(state - state_names.begin());
-    row.http_status = (*document)["status"].asInt();
-    row.body = (*document)["body"].asString();
-    return row;
 }
 
 } // namespace agateledge
