Compare cells of odd table rows as text

Seen: a query with a condition or an order on a column in which a row of the table service has an array or an object ended the daemon.

Cause: cells were compared with a conversion that throws for arrays and objects.

Evidence: odd_table_row.an_order_with_a_wrong_type_can_be_queried threw Json::LogicError before.

Why it works: such a cell becomes its JSON text when the row is read, so that it is shown and compared like any other text.

--- a/src/query_rows.cpp
+++ b/src/query_rows.cpp
@@ -413,6 +413,15 @@
     return {};
 }
 
+/// @return `value`, or its JSON text when it is an array or an object, so that
+///         cells can be compared
+Json::Value cell_of(Json::Value const &value)
+{
+    return value.isArray() || value.isObject()
+               ? Json::Value(json_to_text(value))
+               : value;
+}
+
 /// @return the fields of the row's document in the order of the columns. If the
 ///         document lacks the first column, which identifies the row, the last
 ///         part of the row's key is used.
@@ -432,7 +441,7 @@
         bool const is_key_column = column == columns.front();
         out.push_back(
             document.isMember(name) || !is_key_column
-                ? document[name]
+                ? cell_of(document[name])
                 : Json::Value(row.key.substr(row.key.rfind('/') + 1)));
     }
     return out;
--- a/test/error/odd_table_row_test.cpp
+++ b/test/error/odd_table_row_test.cpp
@@ -2,6 +2,8 @@
 // ends the daemon which reads it.
 #include "claim_row.hpp"
 #include "inbox.hpp"
+#include "parse_statement.hpp"
+#include "query_rows.hpp"
 #include "scripted_deployment.hpp"
 
 #include <gtest/gtest.h>
@@ -74,4 +76,31 @@
     }
 }
 
+query_statement query_of(std::string const &text)
+{
+    auto const parsed = parse_statement(text);
+    EXPECT_TRUE(parsed.ok()) << parsed.status();
+    return std::get<query_statement>(*parsed);
+}
+
+TEST(odd_table_row, an_order_with_a_wrong_type_can_be_queried)
+{
+    std::vector<table_row> const rows{
+        {"order/e-1", R"({"state":[1,{"a":2}],"kind":{"a":"b"}})", 4},
+        {"order/e-2", R"({"state":"recorded","kind":"load_model"})", 5},
+        {"order/e-3", std::string(100'000, '['), 6}};
+    for (auto const *text :
+         {"show orders where state = recorded order by kind",
+          "show orders where kind contains load order by state desc",
+          "show orders where state != x and kind != x order by kind",
+          "show orders"})
+    {
+        EXPECT_NO_THROW({
+            auto const result = query_table_rows(query_of(text), rows);
+            EXPECT_GE(result.rows.size(), 1U) << text;
+            EXPECT_LE(result.rows.size(), 2U) << text;
+        }) << text;
+    }
+}
+
 } // namespace
