Mark a full page of the table service as incomplete

Seen: `show orders` and `show leases` were answered as complete although the table service has more rows than are read.

Cause: the answer to a read by prefix does not tell whether rows are missing, and its number of rows was not compared with the limit.

Evidence: operator_answers.marks_a_full_page_of_the_table_service_as_partial; before, "complete: true" and "cut_by_limit: false" for 10,000 rows.

Why it works: as many rows as the limit allows may be a part. The answer then is not complete, cut by a limit, and has a note that says so in place of the list of daemons that were not asked.

--- a/src/answer_operators.cpp
+++ b/src/answer_operators.cpp
@@ -40,14 +40,22 @@
     reply(w, call, code_of(status), std::string(status.message()));
 }
 
-/// Replies with `body`, to which it adds the name of this daemon, the revision
-/// in force and, unless `complete`, the daemons that were not asked.
-void answer(world &w, operator_call_number call, Json::Value body,
-            bool complete)
+/// Replies with `body`, to which it adds the name of this daemon and the
+/// revision in force.
+void reply_with(world &w, operator_call_number call, Json::Value body,
+                bool complete)
 {
     body["daemon"] = w.identity.name;
     body["revision"] = Json::UInt64(w.config.revision.value());
     body["complete"] = complete;
+    reply(w, call, result_code::ok, json_to_text(body));
+}
+
+/// As `reply_with`; unless `complete`, also adds the daemons that were not
+/// asked.
+void answer(world &w, operator_call_number call, Json::Value body,
+            bool complete)
+{
     if (!complete)
     {
         body["note"] = "answer of one daemon; the others were not asked";
@@ -57,7 +65,7 @@
             body["not_asked"].append(name);
         }
     }
-    reply(w, call, result_code::ok, json_to_text(body));
+    reply_with(w, call, std::move(body), complete);
 }
 
 void answer_rows(world &w, operator_call_number call, query_target target,
@@ -77,9 +85,16 @@
         body["rows"].append(std::move(row));
     }
     body["matched"] = Json::UInt64(result.matched);
-    body["cut_by_limit"] = result.matched > result.rows.size();
+    body["cut_by_limit"] =
+        result.truncated || result.matched > result.rows.size();
     body["age_us"] = result.age ? Json::Value(Json::Int64(result.age->count()))
                                 : Json::Value();
+    if (result.truncated)
+    {
+        body["note"] = "the table service may have more rows than were read";
+        reply_with(w, call, std::move(body), false);
+        return;
+    }
     answer(w, call, std::move(body), result.complete);
 }
 
--- a/src/query_rows.cpp
+++ b/src/query_rows.cpp
@@ -467,7 +467,8 @@
 {
     query_result result;
     result.age = duration(0);
-    result.complete = true;
+    result.truncated = rows.size() >= max_row_limit;
+    result.complete = !result.truncated;
     for (auto const &row : rows)
     {
         auto const document = json_from_text(row.value);
--- a/src/query_rows.hpp
+++ b/src/query_rows.hpp
@@ -24,12 +24,15 @@
     std::optional<duration> age;
     /// False if other daemons may have rows or values that this answer lacks.
     bool complete = false;
+    /// The table service may have more rows than were read.
+    bool truncated = false;
     /// Number of rows that matched, before the limit was applied.
     std::size_t matched = 0;
 };
 
 /// Row limit of a query without `limit`, and the highest limit; a query with a
-/// higher one gets this one.
+/// higher one gets this one. The highest limit also applies to the rows that
+/// are read from the table service before they are filtered.
 constexpr unsigned default_row_limit = 200;
 constexpr unsigned max_row_limit = 10000;
 
@@ -41,7 +44,9 @@
 
 /// Answers a query from rows of the table service.
 ///
-/// @param rows rows as read; those whose value is not a JSON object are skipped
+/// @param rows rows as read, at most `max_row_limit`; those whose value is not
+/// a
+///        JSON object are skipped
 query_result query_table_rows(query_statement const &query,
                               std::vector<table_row> const &rows);
 
--- a/test/correctness/operator_answers_test.cpp
+++ b/test/correctness/operator_answers_test.cpp
@@ -146,4 +146,32 @@
               result_code::store_unavailable);
 }
 
+TEST_F(operator_answers, marks_a_full_page_of_the_table_service_as_partial)
+{
+    for (std::size_t const count : {10'000U, 9'999U})
+    {
+        state.in.operator_requests.push_back(
+            {operator_call_number(++call_count), "maelle",
+             "show orders where state = recorded", 0});
+        state.out = {};
+        tick(state, state.now + milliseconds(1));
+        auto const calls = operator_calls();
+        ASSERT_EQ(calls.size(), 1U);
+        table_reply rows;
+        rows.operation = calls[0].operation;
+        rows.owner = table_owner::operators;
+        rows.outcome = table_outcome::committed;
+        rows.rows.resize(count, {"order/e-1", R"({"state":"done"})", 1});
+        state.in.table_replies.push_back(rows);
+        tick(state, state.now + milliseconds(1));
+        ASSERT_EQ(state.out.operator_replies.size(), 1U);
+        auto const body = json_from_text(state.out.operator_replies[0].text);
+        ASSERT_TRUE(body.ok());
+        bool const whole = count < 10'000U;
+        EXPECT_EQ((*body)["complete"].asBool(), whole);
+        EXPECT_EQ((*body)["cut_by_limit"].asBool(), !whole);
+        EXPECT_FALSE((*body).isMember("not_asked"));
+    }
+}
+
 } // namespace
