Print numbers of many digits in statements

Seen: a statement with a number such as 2.5e-81 was shown in the history as 64 zero bytes, which cannot be parsed again.

Cause: the number is printed without an exponent into 64 bytes, and the error of a text that does not fit was ignored.

Evidence: statement_round_trip.prints_a_number_of_many_digits; before, "expected UTF-8, found an invalid byte" when the printed text was parsed.

Why it works: 400 bytes hold any number without an exponent that the grammar accepts. With 300 zeros the parser itself is off by one unit in the last place, which is left as it is.

--- a/src/statement_text.cpp
+++ b/src/statement_text.cpp
@@ -49,7 +49,8 @@
 
 std::string number(double value)
 {
-    constexpr std::size_t max_number_bytes = 64;
+    // The smallest positive number has 324 digits after the decimal point.
+    constexpr std::size_t max_number_bytes = 400;
     std::array<char, max_number_bytes> text{};
     auto const end = std::to_chars(text.data(), text.data() + text.size(),
                                    value, std::chars_format::fixed);
--- a/test/correctness/statement_round_trip_test.cpp
+++ b/test/correctness/statement_round_trip_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 #include <string_view>
 
 namespace
@@ -68,6 +69,19 @@
     EXPECT_EQ(to_text(*parsed), "drain engine E-1");
 }
 
+// 64 zero bytes used to be printed for a number of more than 64 digits.
+TEST(statement_round_trip, prints_a_number_of_many_digits)
+{
+    auto const text = "set limit of caller stand-12 rate 0." +
+                      std::string(80, '0') + "25 burst 20";
+    auto const parsed = parse_statement(text);
+    ASSERT_TRUE(parsed.ok()) << parsed.status();
+    auto const printed = to_text(*parsed);
+    auto const again = parse_statement(printed);
+    ASSERT_TRUE(again.ok()) << printed << ": " << again.status();
+    EXPECT_EQ(*again, *parsed) << printed;
+}
+
 TEST(statement_round_trip, reads_durations_in_every_unit)
 {
     auto const parsed = parse_statement(
