Evict all excess entries of a prefix cache's view

Seen: prompts of many parts let the view of an engine's cache grow without a bound: 29,985 entries after 20 prompts of 1,500 parts, where 8,192 is the limit.

Cause: one entry was evicted for each prompt, however many it added.

Evidence: prompt_cache_view (3 tests); before, "Expected: (view.size()) <= (max_entries), actual: 8999 vs 8192" and further.

Why it works: all entries above the limit are evicted, the least recently used ones first.

--- a/src/prompt_cache_view.cpp
+++ b/src/prompt_cache_view.cpp
@@ -6,8 +6,10 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <string_view>
+#include <utility>
 
 namespace agateledge
 {
@@ -154,10 +156,18 @@
     {
         return;
     }
-    auto const oldest = std::ranges::min_element(
-        entries_, {},
-        [](auto const &item) { return item.second.last_used_at; });
-    entries_.erase(oldest);
+    using use = std::pair<instant, std::uint64_t>;
+    std::vector<use> uses;
+    uses.reserve(entries_.size());
+    std::ranges::transform(entries_, std::back_inserter(uses),
+                           [](auto const &item) {
+                               return use(item.second.last_used_at, item.first);
+                           });
+    auto const excess =
+        static_cast<std::ptrdiff_t>(entries_.size() - max_entries);
+    std::ranges::nth_element(uses, uses.begin() + excess);
+    std::for_each(uses.begin(), uses.begin() + excess,
+                  [this](use const &item) { entries_.erase(item.second); });
 }
 
 } // namespace agateledge
--- a/src/prompt_cache_view.hpp
+++ b/src/prompt_cache_view.hpp
@@ -79,7 +79,7 @@
     };
 
     entry const *find(std::uint64_t hash) const;
-    /// Evicts the least recently used entry when there are too many.
+    /// Evicts the least recently used entries when there are too many.
     void evict_excess();
 
     std::unordered_map<std::uint64_t, entry> entries_;
