Read the other hosts of a list with an unreadable one

Seen: one host entry with a wrong type in the list of the membership service made the daemon drop the whole list, and it stopped following it.

Cause: the list was decoded as a whole.

Evidence: peer_messages_fuzz.an_unreadable_host_hides_no_other; before, "list of hosts: in Json::Value::find(begin, end): requires objectValue or nullValue".

Why it works: an entry that cannot be converted names no host; the others hold. Still open: an entry that the parser itself refuses, nested deeper than 64 levels or with a number beyond a double, makes the list unreadable.

--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -138,16 +139,34 @@
     return out;
 }
 
-host_entry host_from(Json::Value const &in)
+/// @return the host, or nothing when a member has a wrong type
+std::optional<host_entry> host_from(Json::Value const &in)
 {
-    return {in["name"].asString(), in["data_centre"].asString(),
-            in["address"].asString(), in["leaving"].asBool(),
-            in["entry"].asBool()};
+    try
+    {
+        return host_entry{in["name"].asString(), in["data_centre"].asString(),
+                          in["address"].asString(), in["leaving"].asBool(),
+                          in["entry"].asBool()};
+    }
+    catch (Json::Exception const &)
+    {
+        return std::nullopt;
+    }
 }
 
+/// @return the hosts that can be read; other writers may have left entries that
+///         cannot
 membership_report read_report(Json::Value const &in)
 {
-    return {list_from(in["hosts"], host_from)};
+    membership_report out;
+    for (auto &host : list_from(in["hosts"], host_from))
+    {
+        if (host)
+        {
+            out.hosts.push_back(*std::move(host));
+        }
+    }
+    return out;
 }
 
 /// Parses a JSON document and converts it with `read`.
--- a/test/error/peer_messages_fuzz_test.cpp
+++ b/test/error/peer_messages_fuzz_test.cpp
@@ -138,5 +138,29 @@
     EXPECT_FALSE(heartbeat_from_text(deep).ok());
 }
 
+// The daemon stopped following the list of hosts.
+TEST(peer_messages_fuzz, an_unreadable_host_hides_no_other)
+{
+    for (auto const *host :
+         {"7", "null", "[]", "\"x\"", R"({"name":{}})", R"({"name":["a"]})",
+          R"({"name":"a","leaving":"yes"})", R"({"name":"a","address":[1]})",
+          R"({"name":"a","entry":{"b":1}})"})
+    {
+        auto const sound = [](std::string const &name)
+        {
+            return R"({"name":")" + name +
+                   R"(","data_centre":"b","address":"c","leaving":true,)" +
+                   R"("entry":false})";
+        };
+        auto const report =
+            membership_report_from_text(R"({"hosts":[)" + sound("first") + "," +
+                                        host + "," + sound("last") + "]}");
+        ASSERT_TRUE(report.ok()) << host << ": " << report.status();
+        ASSERT_GE(report->hosts.size(), 2U) << host;
+        EXPECT_EQ(report->hosts.front().name, "first");
+        EXPECT_EQ(report->hosts.back().name, "last");
+    }
+}
+
 } // namespace
 } // namespace agateledge
