Test that no connection to an instance is used again

Late or repeated replies of an instance reach nobody because each call has a connection of its own.

`raw_reply_server` answers each request on kept connections with bytes that the test chooses, so that a test can write an earlier reply once more. repeated_reply (6 tests) shows over sockets, through `instance_client`, the platform's codec and the tick: four calls make four connections, what follows a reply reaches nobody, a refusal of another attempt does not prove that this one did not run, whether it comes alone, before the own reply or after an interim reply, and an interim reply is no refusal.

--- /dev/null
+++ b/test/error/repeated_reply_test.cpp
@@ -0,0 +1,212 @@
+// Guards against a faulty server that writes an earlier reply once more: the
+// copy must not be taken for the reply to a later call.
+#include "daemon_loop.hpp"
+#include "http_client.hpp"
+#include "instance_client.hpp"
+#include "platform_codec.hpp"
+#include "proxy_codec.hpp"
+#include "proxy_fixture.hpp"
+#include "raw_client.hpp"
+#include "raw_reply_server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace agateledge;
+
+std::string reply_text(std::string const &status, std::string const &headers,
+                       std::string const &body)
+{
+    return "HTTP/1.1 " + status + "\r\n" + headers +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string refusal_of(std::string const &attempt)
+{
+    return reply_text("503 Service Unavailable",
+                      "Not-Executed: 1\r\nAttempt-Id: " + attempt + "\r\n",
+                      "full");
+}
+
+std::string success_of(std::string const &attempt)
+{
+    return reply_text("200 OK",
+                      "Server-Signature: s\r\nAttempt-Id: " + attempt + "\r\n",
+                      "seat of " + attempt);
+}
+
+bool contains(std::string const &text, std::string const &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// @return value of the header `name` in the head of a request
+std::string header_in(std::string const &request, std::string const &name)
+{
+    auto const place = request.find(name + ": ");
+    if (place == std::string::npos)
+    {
+        return "";
+    }
+    auto const begin = place + name.size() + 2;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+/// One daemon behind the platform whose instances are all at one address.
+class proxied_calls
+{
+public:
+    proxied_calls(std::string const &address, int instances)
+        : loop_(daemon.state), codec_(platform::make_codec()),
+          http_(connection_reuse::single_call), instances_(http_, loop_, codec_)
+    {
+        auto &handlers = loop_.handlers;
+        handlers.call_instance = [this](proxy_call const &call)
+        {
+            ++calls;
+            auto content = *call.content;
+            content.headers = {{"Attempt-Id", content.caller_attempt}};
+            auto sent = call;
+            sent.content =
+                std::make_shared<proxy_request const>(std::move(content));
+            instances_.call(sent);
+        };
+        handlers.cancel_proxied_request = [this](proxy_cancel const &cancel)
+        { instances_.cancel(cancel); };
+        handlers.answer_proxied_request = [this](proxy_answer const &answer)
+        { answers.push_back(answer); };
+        loop_.input();
+        run_main_context_until([] { return false; }, milliseconds(20));
+        daemon.list_endpoints(instances);
+        for (int i = 1; i <= instances; ++i)
+        {
+            auto const id = "desk-" + std::to_string(i);
+            auto instance = daemon.state.proxy.instances.find(id)->definition;
+            instance.address = address;
+            daemon.list(instance);
+        }
+    }
+
+    /// Sends a request and waits for its answer and for what follows it.
+    proxy_answer answer_to(std::string const &path)
+    {
+        auto const before = answers.size();
+        daemon.send(path);
+        loop_.input();
+        EXPECT_TRUE(run_main_context_until(
+            [this, before] { return answers.size() > before; }));
+        run_main_context_until([] { return false; }, milliseconds(50));
+        EXPECT_EQ(answers.size(), before + 1);
+        return answers.empty() ? proxy_answer{} : answers.back();
+    }
+
+    proxy_fixture daemon;
+    int calls = 0;
+    std::vector<proxy_answer> answers;
+
+private:
+    daemon_loop loop_;
+    proxy_codec codec_;
+    http_client http_;
+    instance_client instances_;
+};
+
+TEST(repeated_reply, no_connection_to_an_instance_is_used_again)
+{
+    raw_reply_server const server(
+        [](int index, std::string const &request)
+        {
+            auto const own = success_of(header_in(request, "Attempt-Id"));
+            return index == 0 ? own + refusal_of("attempt-1")
+                              : refusal_of("attempt-1") + own;
+        });
+    proxied_calls daemon(server.address(), 2);
+    for (int i = 1; i <= 4; ++i)
+    {
+        auto const answer = daemon.answer_to("/book/1");
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.bytes, "seat of attempt-" + std::to_string(i));
+    }
+    EXPECT_EQ(server.connections(), 4);
+    EXPECT_EQ(server.requests(), 4);
+}
+
+TEST(repeated_reply, what_follows_a_refusal_is_no_reply_to_the_next_call)
+{
+    raw_reply_server const server(
+        [](int, std::string const &request)
+        {
+            auto const id = header_in(request, "Attempt-Id");
+            bool const refused =
+                header_in(request, "Target-Instance") == "desk-1";
+            return refused ? refusal_of(id) + refusal_of(id) + success_of(id)
+                           : success_of(id) + refusal_of(id);
+        });
+    proxied_calls daemon(server.address(), 2);
+    for (int i = 1; i <= 6; ++i)
+    {
+        auto const answer = daemon.answer_to("/book/1");
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.bytes, "seat of attempt-" + std::to_string(i));
+    }
+    EXPECT_GT(daemon.calls, 6);
+    EXPECT_EQ(server.connections(), daemon.calls);
+}
+
+TEST(repeated_reply, a_refusal_of_another_attempt_does_not_prove_not_run)
+{
+    raw_reply_server const server([](int, std::string const &)
+                                  { return refusal_of("attempt-0"); });
+    proxied_calls daemon(server.address(), 3);
+    EXPECT_EQ(daemon.answer_to("/book/1").status, 502);
+    EXPECT_EQ(daemon.calls, 1);
+}
+
+TEST(repeated_reply, a_refusal_before_the_own_reply_does_not_prove_not_run)
+{
+    raw_reply_server const server(
+        [](int, std::string const &request)
+        {
+            return refusal_of("attempt-0") +
+                   success_of(header_in(request, "Attempt-Id"));
+        });
+    proxied_calls daemon(server.address(), 3);
+    EXPECT_EQ(daemon.answer_to("/book/1").status, 502);
+    EXPECT_EQ(daemon.calls, 1);
+}
+
+TEST(repeated_reply, an_interim_reply_does_not_hide_the_id_of_the_refusal)
+{
+    raw_reply_server const server(
+        [](int, std::string const &)
+        {
+            return "HTTP/1.1 102 Processing\r\nAttempt-Id: attempt-1\r\n"
+                   "Not-Executed: 1\r\n\r\n" +
+                   refusal_of("attempt-0");
+        });
+    proxied_calls daemon(server.address(), 3);
+    EXPECT_EQ(daemon.answer_to("/book/1").status, 502);
+    EXPECT_EQ(daemon.calls, 1);
+}
+
+TEST(repeated_reply, an_interim_reply_is_no_refusal)
+{
+    raw_reply_server const server(
+        [](int, std::string const &request)
+        {
+            return "HTTP/1.1 102 Processing\r\nAttempt-Id: attempt-1\r\n"
+                   "Not-Executed: 1\r\n\r\n" +
+                   success_of(header_in(request, "Attempt-Id"));
+        });
+    proxied_calls daemon(server.address(), 3);
+    EXPECT_EQ(daemon.answer_to("/book/1").status, 200);
+    EXPECT_EQ(daemon.calls, 1);
+}
+
+} // namespace
