--- a/test/error/repeated_reply_test.cpp
+++ b/test/error/repeated_reply_test.cpp
@@ -209,4 +209,19 @@
     EXPECT_EQ(daemon.calls, 1);
 }
 
+TEST(repeated_reply, a_refusal_with_a_second_id_does_not_prove_not_run)
+{
+    raw_reply_server const server(
+        [](int, std::string const &)
+        {
+            return reply_text("503 Service Unavailable",
+                              "Not-Executed: 1\r\nAttempt-Id: attempt-1\r\n"
+                              "Attempt-Id: attempt-0\r\n",
+                              "full");
+        });
+    proxied_calls daemon(server.address(), 3);
+    EXPECT_EQ(daemon.answer_to("/book/1").status, 502);
+    EXPECT_EQ(daemon.calls, 1);
+}
+
 } // namespace
