Give each generation and order a connection of its own

Seen: an engine that wrote an earlier refusal once more, as the next request on the connection arrived, had the copy taken as the refusal of that request. The daemon told the caller that the generation had not run, or sent it to a second engine, while the first one ran it; for orders, an accepted one was recorded as refused.

Cause: `engine_client` used kept connections, and the replies of engines bear no id.

A copy written at once with the first refusal was harmless before as well: libsoup drops a connection with unread bytes.

Why it works: nothing but the reply to its own request can arrive on a connection that carries a single request. Polls of load reports keep their connections: a copy there is an older report.

--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -78,6 +78,9 @@
     request.method = "POST";
     request.address = call.address;
     request.path = "/v1/generate";
+    // On a reused connection a late copy of an earlier refusal would be read as
+    // the reply to this call.
+    request.new_connection = true;
     request.body =
         std::make_shared<std::string const>(engine_call_to_text(call));
     http_call_handlers handlers;
@@ -132,6 +135,7 @@
     request.address = call.address;
     request.path = "/v1/orders";
     request.total_timeout = order_timeout;
+    request.new_connection = true;
     request.body =
         std::make_shared<std::string const>(engine_order_to_text(call.order));
     http_.send(request,
--- a/test/error/repeated_reply_test.cpp
+++ b/test/error/repeated_reply_test.cpp
@@ -1,6 +1,7 @@
 // Guards against a faulty server that writes an earlier reply once more: the
 // copy must not be taken for the reply to a later call.
 #include "daemon_loop.hpp"
+#include "engine_client.hpp"
 #include "http_client.hpp"
 #include "instance_client.hpp"
 #include "platform_codec.hpp"
@@ -224,4 +225,131 @@
     EXPECT_EQ(daemon.calls, 1);
 }
 
+/// The clients of the product's own front door.
+class front_door
+{
+public:
+    explicit front_door(std::string address)
+        : state({"edge-1", incarnation_number(1), "zone-a", "127.0.0.1:1"}, 1),
+          engines(http_, loop_),
+          address_(std::move(address))
+    {
+    }
+
+    /// @return the kind of the first event of a generation
+    engine_event_kind generate(std::uint64_t attempt)
+    {
+        engine_call call;
+        call.attempt = attempt_number(attempt);
+        call.address = address_;
+        call.stream_key = "stream-" + std::to_string(attempt);
+        engines.call(call);
+        auto const &events = state.in.engine_events;
+        EXPECT_TRUE(
+            run_main_context_until([&events] { return !events.empty(); }));
+        auto const kind =
+            events.empty() ? engine_event_kind::refused : events.front().kind;
+        settle();
+        return kind;
+    }
+
+    order_outcome order(std::string const &id)
+    {
+        order_call call;
+        call.address = address_;
+        call.order.id = id;
+        engines.send_order(call);
+        auto const &replies = state.in.order_replies;
+        EXPECT_TRUE(
+            run_main_context_until([&replies] { return !replies.empty(); }));
+        auto const outcome =
+            replies.empty() ? order_outcome::unknown : replies.front().outcome;
+        settle();
+        return outcome;
+    }
+
+    world state;
+
+private:
+    void settle()
+    {
+        run_main_context_until([] { return false; }, milliseconds(50));
+        state.in = {};
+    }
+
+    daemon_loop loop_{state};
+    http_client http_;
+
+public:
+    engine_client engines;
+
+private:
+    std::string address_;
+};
+
+std::string const engine_refusal =
+    reply_text("503 Service Unavailable", "Content-Type: application/json\r\n",
+               R"({"error":"full"})");
+
+std::string const engine_stream =
+    reply_text("200 OK", "Content-Type: text/event-stream\r\n",
+               "data: {\"kind\":\"finished\",\"offset\":0,\"tokens\":1,"
+               "\"text\":\"a\"}\n\n");
+
+// The engine runs the second generation; a refusal would send it to another
+// engine as well.
+TEST(repeated_reply, an_engine_that_refuses_twice_refuses_one_generation)
+{
+    raw_reply_server const server(
+        [](int index, std::string const &request)
+        {
+            if (contains(request, "stream-1"))
+            {
+                return engine_refusal + engine_refusal;
+            }
+            return index == 0 ? engine_stream : engine_refusal + engine_stream;
+        });
+    front_door daemon(server.address());
+    EXPECT_EQ(daemon.generate(1), engine_event_kind::refused);
+    EXPECT_EQ(daemon.generate(2), engine_event_kind::finished);
+}
+
+TEST(repeated_reply, a_late_copy_of_a_refusal_refuses_no_other_generation)
+{
+    raw_reply_server const server(
+        [](int index, std::string const &request)
+        {
+            if (contains(request, "stream-1"))
+            {
+                return engine_refusal;
+            }
+            return index == 0 ? engine_stream : engine_refusal + engine_stream;
+        });
+    front_door daemon(server.address());
+    EXPECT_EQ(daemon.generate(1), engine_event_kind::refused);
+    EXPECT_EQ(daemon.generate(2), engine_event_kind::finished);
+}
+
+TEST(repeated_reply, a_late_copy_of_a_refused_order_refuses_no_other_order)
+{
+    auto const refused =
+        reply_text("200 OK", "Content-Type: application/json\r\n",
+                   R"({"outcome":"refused_generation"})");
+    auto const accepted =
+        reply_text("200 OK", "Content-Type: application/json\r\n",
+                   R"({"outcome":"accepted"})");
+    raw_reply_server const server(
+        [refused, accepted](int index, std::string const &request)
+        {
+            if (contains(request, "order-1"))
+            {
+                return refused;
+            }
+            return index == 0 ? accepted : refused + accepted;
+        });
+    front_door daemon(server.address());
+    EXPECT_EQ(daemon.order("order-1"), order_outcome::refused_generation);
+    EXPECT_EQ(daemon.order("order-2"), order_outcome::accepted);
+}
+
 } // namespace
