Give each look-up at a service a connection of its own

Seen: a service that wrote an earlier answer once more on a kept connection had it handed to the next caller of a GET.

Cause: GET calls used kept connections; the other methods already had connections of their own.

Evidence: repeated_reply.a_late_copy_of_an_answer_reaches_no_other_caller; before, the second caller got "first" where "second" was the answer to its call.

Why it works: as for the other methods, nothing but the reply to its own request can arrive on the connection.

--- a/src/service_client.cpp
+++ b/src/service_client.cpp
@@ -31,9 +31,10 @@
     request.path = call.path;
     request.body = call.method == "GET" ? nullptr : call.body;
     request.total_timeout = call.timeout;
-    // The server may close a reused connection while the call is written to it,
-    // which would leave the outcome of a non-idempotent call unknown.
-    request.new_connection = call.method != "GET";
+    // On a reused connection a late copy of an earlier reply would be read as
+    // the reply to this call, and the server may close the connection while the
+    // call is written to it, which leaves the outcome unknown.
+    request.new_connection = true;
     if (!call.idempotency_key.empty())
     {
         request.headers = {{"Idempotency-Key", call.idempotency_key}};
--- a/test/error/repeated_reply_test.cpp
+++ b/test/error/repeated_reply_test.cpp
@@ -9,6 +9,7 @@
 #include "proxy_fixture.hpp"
 #include "raw_client.hpp"
 #include "raw_reply_server.hpp"
+#include "service_client.hpp"
 
 #include <gtest/gtest.h>
 
@@ -231,7 +232,7 @@
 public:
     explicit front_door(std::string address)
         : state({"edge-1", incarnation_number(1), "zone-a", "127.0.0.1:1"}, 1),
-          engines(http_, loop_),
+          engines(http_, loop_), services(http_, loop_),
           address_(std::move(address))
     {
     }
@@ -268,6 +269,23 @@
         return outcome;
     }
 
+    std::string look_up(std::string const &path)
+    {
+        service_call call;
+        call.attempt = attempt_number(1);
+        call.address = address_;
+        call.method = "GET";
+        call.path = path;
+        call.timeout = seconds(2);
+        services.call(call);
+        auto const &replies = state.in.service_replies;
+        EXPECT_TRUE(
+            run_main_context_until([&replies] { return !replies.empty(); }));
+        auto const body = replies.empty() ? "" : replies.front().body;
+        settle();
+        return body;
+    }
+
     world state;
 
 private:
@@ -282,6 +300,7 @@
 
 public:
     engine_client engines;
+    service_client services;
 
 private:
     std::string address_;
@@ -352,4 +371,22 @@
     EXPECT_EQ(daemon.order("order-2"), order_outcome::accepted);
 }
 
+TEST(repeated_reply, a_late_copy_of_an_answer_reaches_no_other_caller)
+{
+    auto const first = reply_text("200 OK", "", "first");
+    auto const second = reply_text("200 OK", "", "second");
+    raw_reply_server const server(
+        [first, second](int index, std::string const &request)
+        {
+            if (contains(request, "/first"))
+            {
+                return first;
+            }
+            return index == 0 ? second : first + second;
+        });
+    front_door daemon(server.address());
+    EXPECT_EQ(daemon.look_up("/first"), "first");
+    EXPECT_EQ(daemon.look_up("/second"), "second");
+}
+
 } // namespace
