Test two hubs of one data centre at once

proxy_load.two_hubs_at_once_report_no_work_twice removes the row of each daemon of a data centre in turn, for the daemons of that data centre only, and checks every 10 ms for 2 s that no daemon counts an engine's work twice.

--- a/test/correctness/proxy_load_test.cpp
+++ b/test/correctness/proxy_load_test.cpp
@@ -259,6 +259,41 @@
     EXPECT_EQ(std::ranges::count(known, 5000), 29);
 }
 
+/// Removes the row of `name` from the daemons of its data centre only, so that
+/// it may remain the hub for itself and for the other data centres.
+void depose(simulated_fleet &fleet, std::string const &name,
+            std::string const &data_centre)
+{
+    for (auto &daemon : fleet.members)
+    {
+        auto const &identity = daemon->state.identity;
+        if (identity.data_centre == data_centre && identity.name != name)
+        {
+            daemon->state.proxy.daemons.erase(name);
+        }
+    }
+}
+
+// While a hub is replaced, both report for their data centre.
+TEST(proxy_load, two_hubs_at_once_report_no_work_twice)
+{
+    for (std::size_t member = 0; member < 12; member += 2)
+    {
+        simulated_fleet fleet(12, 2, 3);
+        fleet.advance(milliseconds(500));
+        auto const &identity = fleet.members.at(member)->state.identity;
+        add_work(*fleet.members.at(2), "decode-2");
+        fleet.advance(milliseconds(500));
+        depose(fleet, identity.name, identity.data_centre);
+        for (int i = 0; i < 200; ++i)
+        {
+            fleet.advance(milliseconds(10));
+            EXPECT_LE(std::ranges::max(known_tokens(fleet, "decode-2")), 5000)
+                << identity.name;
+        }
+    }
+}
+
 TEST(proxy_load, old_and_unknown_reports_are_dropped)
 {
     simulated_fleet fleet(2, 1, 3);
