Send nothing new to an instance that announced it leaves

What callers could see, shown by tests only: requests went on to an instance that had announced in its replies that it leaves, because the daemon knew of departures from the directory only; those that it had not finished when it exited would have been cut off. A row that still says ready, a lapsed row that is listed again, or a row that cannot be read hides the departure.

Cause: the announcement was passed on to the caller but not decoded, and the head of a successful prefill reply was dropped before the tick.

Change: `record_leaving_instances` records the called incarnation (id, start, address) of each reply head that announces it, whatever its status. The records are kept apart from the directory, so that they outlive a row; they end with a new start, or 10 min after the incarnation was last listed, and are bounded in number. If a row gives no start, only a new address tells a restart, so such an instance is avoided until 10 min after its last announcement. All requests pass `choose_instance`, which asks `available_from`; reads of the instance's cache end too. A prompt that it keeps may still be fetched. Only the value 1 announces, and a reply of another instance at the address does not count.

Why it works: the record is made before any request of the tick is placed, and nothing that the directory says about the same incarnation removes it.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -166,6 +166,10 @@
                             "the reply is not signed by the instance");
         return;
     }
+    if (is_success(head->status) && attempt.stage == proxy_stage::prefill)
+    {
+        return;
+    }
     if (auto *request = w.proxy.requests.find(attempt.request))
     {
         request->head = head;
--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -1,5 +1,6 @@
 #include "choose_instance.hpp"
 
+#include "available_from.hpp"
 #include "poll_caches.hpp"
 #include "predict_event_gap.hpp"
 #include "world.hpp"
@@ -88,17 +89,17 @@
 bool is_eligible(world const &w, proxy_request_state const &request,
                  instance_state const &instance)
 {
-    auto const &definition = instance.definition;
     bool const decoding = request.retained_prefill || request.prefill_failed ||
                           !request.last_event.empty() ||
                           request.content->prompt == std::nullopt;
-    bool const role_fits = definition.role != engine_role::prefill || !decoding;
-    return definition.accepts_work && !instance.address_reused && role_fits &&
-           !(w.now < instance.health.ejected_until);
+    bool const role_fits =
+        instance.definition.role != engine_role::prefill || !decoding;
+    return role_fits && available_from(w, instance) <= w.now;
 }
 
 /// Eligible instances. Instances that the request was already sent to are
-/// returned only when there are no others; ejected ones are never eligible.
+/// returned only when there are no others; ejected and leaving ones are never
+/// eligible.
 std::vector<candidate> eligible_candidates(world const &w,
                                            proxy_request_state const &request)
 {
--- a/src/instance_client.cpp
+++ b/src/instance_client.cpp
@@ -108,13 +108,6 @@
 {
     open_.at(call.attempt).status = status;
     auto head = codec_.decode_head(call, {status, std::move(headers)});
-    bool const prefill_succeeded = call.stage == proxy_stage::prefill &&
-                                   status == http_ok &&
-                                   !head.mismatched_attempt && !head.not_run;
-    if (prefill_succeeded)
-    {
-        return;
-    }
     proxy_event event;
     event.attempt = call.attempt;
     event.kind = proxy_event_kind::head;
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -108,7 +108,8 @@
     proxy.requests.add({attempt, request.number, choice.instance, choice.stage,
                         w.now, choice.prediction.time,
                         choice.prediction.unread_tokens,
-                        instance.open_calls.size(), false, background});
+                        instance.open_calls.size(), false, background,
+                        incarnation_of(instance.definition)});
     instance.open_calls.insert(attempt);
     instance.add_unread_tokens(choice.prediction.unread_tokens, background);
     instance.cache.record_prompt(request.chain, w.now);
--- a/src/poll_caches.cpp
+++ b/src/poll_caches.cpp
@@ -104,7 +104,8 @@
 void read_cache(world &w, instance_state &engine)
 {
     auto &feed = engine.cache_feed;
-    if (feed.in_flight || !engine.definition.accepts_work)
+    if (feed.in_flight || !engine.definition.accepts_work ||
+        w.proxy.is_leaving(engine.definition))
     {
         return;
     }
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -152,6 +152,8 @@
     bool is_signed = false;
     /// The reply came from another instance than the one that was called.
     bool wrong_instance = false;
+    /// The instance announces that it leaves.
+    bool instance_leaves = false;
 };
 
 enum class proxy_event_kind
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -3,6 +3,7 @@
 
 #include "due_queue.hpp"
 #include "ids.hpp"
+#include "incarnation_deadlines.hpp"
 #include "instance_table.hpp"
 #include "load_exchange_state.hpp"
 #include "proxy_limits.hpp"
@@ -94,6 +95,10 @@
     std::map<std::string, shared_retry_budget> budgets;
     std::array<table_poll_state, polled_table_count> table_polls;
     store_condition store;
+    /// Instances that announced that they leave, with the times at which the
+    /// announcements are forgotten.
+    incarnation_deadlines leaving_instances;
+    instant next_leaving_check{};
     /// Daemons by name, including this one once its row has been read.
     std::map<std::string, daemon_peer> daemons;
     load_exchange_state load;
@@ -120,6 +125,12 @@
         max_event_gaps = max_event_gap_by_service(*routing);
     }
 
+    /// @return true when this incarnation announced that it leaves
+    bool is_leaving(instance_definition const &instance) const
+    {
+        return leaving_instances.find(instance).has_value();
+    }
+
     /// @return number of daemons among which the limits of the deployment are
     ///         divided
     double effective_fleet_size() const
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_PROXY_TABLE_HPP
 
 #include "ids.hpp"
+#include "instance_incarnation.hpp"
 #include "outbox.hpp"
 #include "prompt_cache_view.hpp"
 #include "proxy_messages.hpp"
@@ -98,6 +99,8 @@
     /// The call was predicted to miss its target and was sent with the least
     /// urgent priority; predictions for other calls ignore it.
     bool background = false;
+    /// Incarnation of the instance that was called.
+    instance_incarnation incarnation;
 };
 
 /// Open requests and their calls.
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -8,6 +8,7 @@
 #include "place_proxied_requests.hpp"
 #include "poll_caches.hpp"
 #include "poll_store.hpp"
+#include "record_leaving_instances.hpp"
 #include "stop_proxy.hpp"
 #include "update_directory.hpp"
 
@@ -19,6 +20,7 @@
     poll_store(w);
     update_directory(w);
     exchange_loads(w);
+    record_leaving_instances(w);
     advance_proxied_requests(w);
     eject_instances(w);
     poll_caches(w);
--- a/test/error/platform_codec_test.cpp
+++ b/test/error/platform_codec_test.cpp
@@ -138,6 +138,40 @@
     EXPECT_FALSE(codec.decode_head(call, {503, {}}).not_run);
 }
 
+proxy_reply_head decoded_head(int status, header_list const &headers)
+{
+    proxy_call call;
+    call.content = std::make_shared<proxy_request const>();
+    return platform::make_codec().decode_head(call, {status, headers});
+}
+
+TEST(platform_codec, a_reply_tells_whether_its_instance_leaves)
+{
+    EXPECT_TRUE(decoded_head(200, {{"server-leaving", " 1 "}}).instance_leaves);
+    for (auto const *value : {"", "0", "2", "11", "true", "-1"})
+    {
+        EXPECT_FALSE(
+            decoded_head(200, {{"Server-Leaving", value}}).instance_leaves)
+            << value;
+    }
+    EXPECT_FALSE(decoded_head(200, {}).instance_leaves);
+    auto const head = decoded_head(200, {{"Server-Leaving", "1"}});
+    EXPECT_EQ(value_in(head.headers, "Server-Leaving"), "1");
+}
+
+// Requests carry the header only if the caller sent it.
+TEST(platform_codec, a_caller_cannot_announce_for_an_instance)
+{
+    auto const codec = platform::make_codec();
+    auto const request = codec.decode_request(
+        request_with({{"Attempt-Id", "a1"}, {"Server-Leaving", "1"}}));
+    ASSERT_TRUE(request.ok());
+    EXPECT_EQ(value_in(request->headers, "Server-Leaving"), "1");
+    proxy_call call;
+    call.content = std::make_shared<proxy_request const>(*request);
+    EXPECT_FALSE(codec.decode_head(call, {200, {}}).instance_leaves);
+}
+
 TEST(platform_codec, entries_of_another_writer_name_no_instance)
 {
     ASSERT_TRUE(platform::decode_instance("i", entry));
