Leave an instance alone for the time that it asks for

What callers could see, shown by tests only: an overloaded instance that turned requests away with 503 and a time got more requests at once, so that more of them were turned away; callers whose request was refused in the end were told to come back after a second at most, into the next refusal.

Cause: the time in the refusal was not decoded; only failures and predictions kept requests from an instance.

Change: `record_instance_pauses` records the pause for the called incarnation. Until its end the incarnation gets no request, prefill call, hand-over, cache read or release of a KV cache. A shorter one does not end a longer one; a restart does. Requests without another instance wait for the first end of a pause if they can begin after it in time (and look again every 100 ms, as another instance may have been listed); the others are refused at once, as not run, with the time until an instance is free. So is a request whose refusal is final. A 503 that does not state that the request did not run asks for the pause too, but stays a 502 to the caller. The time is a plain decimal number of seconds; an hour is the limit. Open calls go on: the connect timeout of 0.4 s bounds the time in which one can still arrive.

Why it works: the pause is recorded before any request of the tick is placed, and both placing and the waiting ask `available_from`.

--- a/src/available_from.cpp
+++ b/src/available_from.cpp
@@ -15,7 +15,8 @@
     {
         return instant::max();
     }
-    return std::max(w.now, instance.health.ejected_until);
+    return std::max({w.now, instance.health.ejected_until,
+                     w.proxy.paused_until(definition)});
 }
 
 } // namespace agateledge
--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -98,8 +98,8 @@
 }
 
 /// Eligible instances. Instances that the request was already sent to are
-/// returned only when there are no others; ejected and leaving ones are never
-/// eligible.
+/// returned only when there are no others; ejected ones, leaving ones and those
+/// that asked for a pause are never eligible.
 std::vector<candidate> eligible_candidates(world const &w,
                                            proxy_request_state const &request)
 {
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -1,7 +1,9 @@
 #include "place_proxied_requests.hpp"
 
+#include "available_from.hpp"
 #include "choose_instance.hpp"
 #include "log_proxied_request.hpp"
+#include "next_available_instance.hpp"
 #include "proxy_lifecycle.hpp"
 #include "world.hpp"
 
@@ -29,6 +31,10 @@
 /// are hundreds of ticks a second, and one comparison costs as much as a tick.
 constexpr duration comparison_interval = milliseconds(5);
 
+/// Maximum time after which a request that waits for the end of a pause is
+/// reconsidered, because another instance may have been listed.
+constexpr duration pause_check_interval = milliseconds(100);
+
 /// Lower limit of the retry-after time for a request whose deadline cannot be
 /// met; the time itself is derived from the excess of the predicted wait.
 constexpr duration min_retry_after = milliseconds(500);
@@ -184,6 +190,45 @@
     wake_at(w, request.not_before);
 }
 
+/// @return time by which the next event must arrive, or else the caller leaves
+instant event_due(proxy_request_state const &request)
+{
+    if (!request.answering)
+    {
+        return request.begin_by;
+    }
+    return std::min(request.expires_at,
+                    request.last_event_at +
+                        request.route->stream_idle_timeout());
+}
+
+/// Queues the request until the first pause of an instance ends; fails it when
+/// that is too late, or when no pause is the reason that there is no instance.
+void await_instance(world &w, request_number number, queued_tokens &queued)
+{
+    auto &request = *w.proxy.requests.find(number);
+    auto const *next = next_available_instance(w, request.service);
+    bool const paused =
+        next != nullptr && w.proxy.paused_until(next->definition) > w.now;
+    if (!paused)
+    {
+        fail_proxied_request(w, number,
+                             "no instance of the service accepts work");
+        return;
+    }
+    auto const from = available_from(w, *next);
+    auto const prediction = predict_first_event(w, request, *next, 0);
+    if (from + prediction.time > event_due(request))
+    {
+        fail_proxied_request(w, number,
+                             "the instances of the service have asked for a "
+                             "pause that ends too late");
+        return;
+    }
+    request.not_before = std::min(from, w.now + pause_check_interval);
+    requeue(w, request, queued);
+}
+
 /// Sends, refuses or queues the request.
 void place(world &w, request_number number, queued_tokens &queued)
 {
@@ -191,8 +236,7 @@
     auto const choice = choose_instance(w, request);
     if (!choice)
     {
-        fail_proxied_request(w, number,
-                             "no instance of the service accepts work");
+        await_instance(w, number, queued);
         return;
     }
     auto const remaining = request.begin_by - w.now;
--- a/src/poll_caches.cpp
+++ b/src/poll_caches.cpp
@@ -109,6 +109,8 @@
     {
         return;
     }
+    feed.next_read =
+        std::max(feed.next_read, w.proxy.paused_until(engine.definition));
     if (feed.next_read > w.now)
     {
         wake_at(w, feed.next_read);
--- a/src/proxy_lifecycle.cpp
+++ b/src/proxy_lifecycle.cpp
@@ -1,6 +1,8 @@
 #include "proxy_lifecycle.hpp"
 
+#include "available_from.hpp"
 #include "log_proxied_request.hpp"
+#include "next_available_instance.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -33,6 +35,14 @@
     w.out.proxy_answers.push_back(std::move(answer));
 }
 
+/// @return time until an instance of the service is available; 0 when one is,
+///         or when none will be
+duration time_until_available(world const &w, std::string const &service)
+{
+    auto const *next = next_available_instance(w, service);
+    return next == nullptr ? duration(0) : available_from(w, *next) - w.now;
+}
+
 void remove_request(world &w, request_number number)
 {
     auto &waiting = w.proxy.waiting;
@@ -72,8 +82,16 @@
 
 void release_kept_prefill(world &w, proxy_request_state &request)
 {
-    if (auto const retained =
-            std::exchange(request.retained_prefill, std::nullopt))
+    auto const retained = std::exchange(request.retained_prefill, std::nullopt);
+    if (!retained)
+    {
+        return;
+    }
+    auto const *holder = w.proxy.instances.find(retained->instance);
+    bool const paused =
+        holder != nullptr && w.proxy.paused_until(holder->definition) > w.now;
+    // A KV cache that is not released expires at the engine.
+    if (!paused)
     {
         w.out.kv_releases.push_back({retained->address, retained->handle});
     }
@@ -140,7 +158,8 @@
         return;
     }
     refuse_proxied_request(w, number, result_code::no_endpoint, message,
-                           spread_retry_after(w, seconds(1)));
+                           time_until_available(w, request->service) +
+                               spread_retry_after(w, seconds(1)));
 }
 
 void finish_proxied_request(world &w, request_number number,
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -154,6 +154,8 @@
     bool wrong_instance = false;
     /// The instance announces that it leaves.
     bool instance_leaves = false;
+    /// Time for which the instance asks for no further requests.
+    std::optional<duration> retry_after;
 };
 
 enum class proxy_event_kind
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -32,6 +32,8 @@
     counter_map load_reports;
     /// Incarnations that announced that they leave.
     std::uint64_t leave_announcements = 0;
+    /// Pauses that instances asked for.
+    std::uint64_t instance_pauses = 0;
     std::uint64_t retries = 0;
     std::uint64_t retries_denied = 0;
     std::uint64_t resumed_streams = 0;
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -69,6 +69,8 @@
     write_counters(out, "load_reports_total", "result", metrics.load_reports);
     write_value(out, "leave_announcements_total", "counter",
                 static_cast<double>(metrics.leave_announcements));
+    write_value(out, "instance_pauses_total", "counter",
+                static_cast<double>(metrics.instance_pauses));
     write_value(out, "retries_total", "counter",
                 static_cast<double>(metrics.retries));
     write_value(out, "retries_denied_total", "counter",
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -99,6 +99,9 @@
     /// announcements are forgotten.
     incarnation_deadlines leaving_instances;
     instant next_leaving_check{};
+    /// Instances that asked for no further requests, with the ends of these
+    /// pauses.
+    incarnation_deadlines paused_instances;
     /// Daemons by name, including this one once its row has been read.
     std::map<std::string, daemon_peer> daemons;
     load_exchange_state load;
@@ -131,6 +134,13 @@
         return leaving_instances.find(instance).has_value();
     }
 
+    /// @return end of the pause that this incarnation asked for; the epoch when
+    ///         it asked for none
+    instant paused_until(instance_definition const &instance) const
+    {
+        return paused_instances.find(instance).value_or(instant{});
+    }
+
     /// @return number of daemons among which the limits of the deployment are
     ///         divided
     double effective_fleet_size() const
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -8,6 +8,7 @@
 #include "place_proxied_requests.hpp"
 #include "poll_caches.hpp"
 #include "poll_store.hpp"
+#include "record_instance_pauses.hpp"
 #include "record_leaving_instances.hpp"
 #include "stop_proxy.hpp"
 #include "update_directory.hpp"
@@ -21,6 +22,7 @@
     update_directory(w);
     exchange_loads(w);
     record_leaving_instances(w);
+    record_instance_pauses(w);
     advance_proxied_requests(w);
     eject_instances(w);
     poll_caches(w);
--- a/test/error/platform_codec_test.cpp
+++ b/test/error/platform_codec_test.cpp
@@ -172,6 +172,34 @@
     EXPECT_FALSE(codec.decode_head(call, {200, {}}).instance_leaves);
 }
 
+TEST(platform_codec, the_pause_that_an_instance_asks_for_is_a_plain_number)
+{
+    for (auto const &[text, expected] :
+         {std::pair{"2", duration(seconds(2))},
+          std::pair{" 0.25 ", duration(milliseconds(250))},
+          std::pair{"0", duration(0)},
+          std::pair{"007.5", duration(milliseconds(7500))},
+          std::pair{"0.00000049", duration(0)},
+          std::pair{"3600.5", duration(hours(1))},
+          std::pair{"99999999999999999999", duration(hours(1))}})
+    {
+        EXPECT_EQ(decoded_head(503, {{"Retry-After", text}}).retry_after,
+                  expected)
+            << text;
+    }
+    auto const long_number = std::string(400, '9') + ".5";
+    EXPECT_EQ(decoded_head(503, {{"Retry-After", long_number}}).retry_after,
+              duration(hours(1)));
+    for (auto const *text :
+         {"", " ", "-1", "+1", "1e400", "1e2", "nan", "inf", "0x10", "1,5",
+          "1.", ".", ".5", "1.2.3", "2 s", "Sat, 05 Dec 2026 03:00:00 GMT"})
+    {
+        EXPECT_FALSE(decoded_head(503, {{"Retry-After", text}}).retry_after)
+            << text;
+    }
+    EXPECT_FALSE(decoded_head(503, {}).retry_after);
+}
+
 TEST(platform_codec, entries_of_another_writer_name_no_instance)
 {
     ASSERT_TRUE(platform::decode_instance("i", entry));
