Do not repeat the prefill of a request that is retried

Cause: a run that failed after a hand-over took one extra call from the retry budget, but the retry could choose a prefill engine again. A second prefill call counts, and so does the run after it, so that two calls were made for one that was counted. If only the connect of the run failed, the handle of the KV cache was dropped without need, and the second prefill call was not counted at all.

Change: once an engine has accepted a prefill call, further calls prefill and decode on the same engine; a handle that was not sent is offered to the next engine.

Evidence: before, broken_runs_after_hand_overs_stay_within_the_budget counted 128 extra calls for 400 requests where this daemon's share is 92.5; a_retry_after_a_hand_over_is_one_extra_call and a_handle_that_was_not_sent_is_offered_to_another_engine saw a second prefill call in place of a run. They pass now.

Why it works: with no second prefill call, each retry is exactly one call that counts, which is what the budget assumes. The safety factor is unchanged.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -102,15 +102,18 @@
                         {"sent", sent ? "true" : "false"},
                         {"stage", prefill ? "prefill" : "run"},
                         {"reason", reason}});
-    if (!sent)
+    if (sent)
+    {
+        request->prefill_failed |= prefill;
+        // The handle may have been used, so it is not offered again; an unused
+        // KV cache expires on the engine that holds it.
+        request->retained_prefill.reset();
+    }
+    else
     {
         request->runs -= prefill ? 0 : 1;
         --request->sends;
     }
-    request->prefill_failed |= prefill && sent;
-    // The handle may have been used, so it is not offered again; an unused KV
-    // cache expires on the engine that holds it.
-    request->retained_prefill.reset();
     retry_or_fail(w, number, sent, duration(0), reason);
 }
 
@@ -414,6 +417,7 @@
     record_first_bytes(w, *attempt);
     count_call(w, "prefilled");
     ++w.proxy.metrics.prefill_handovers;
+    request->prefilled = true;
     request->retained_prefill = kept_prefill{
         attempt->instance, instance->definition.address, result.handle};
     close_attempt(w, result.attempt, call_result::succeeded);
--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -89,7 +89,8 @@
 bool is_eligible(world const &w, proxy_request_state const &request,
                  instance_state const &instance)
 {
-    bool const decoding = request.retained_prefill || request.prefill_failed ||
+    bool const decoding = request.retained_prefill || request.prefilled ||
+                          request.prefill_failed ||
                           !request.last_event.empty() ||
                           request.content->prompt == std::nullopt;
     bool const role_fits =
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -60,6 +60,9 @@
     /// A prefill on a separate engine or the hand-over of its KV cache has
     /// failed; the next call prefills and decodes on the same engine.
     bool prefill_failed = false;
+    /// An engine has accepted a prefill call. A further one would count against
+    /// the retry budget, as would the run that follows it.
+    bool prefilled = false;
     /// The status line and headers have been sent to the caller.
     bool answering = false;
     /// Id of the last event that was sent to the caller.
--- a/test/correctness/proxy_retry_test.cpp
+++ b/test/correctness/proxy_retry_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <numeric>
 #include <string>
 
 namespace
@@ -197,4 +200,109 @@
     EXPECT_GT(calls, requests);
 }
 
+/// Sends a long prompt and answers its prefill call.
+///
+/// @return the call that decodes it
+proxy_call handed_over_call(proxy_fixture &daemon)
+{
+    daemon.send("/chat/1", 7, 9000);
+    auto const prefill = only_call(step(daemon));
+    EXPECT_EQ(prefill.stage, proxy_stage::prefill);
+    daemon.state.in.prefill_results.push_back({prefill.attempt, "handle"});
+    auto const run = only_call(step(daemon));
+    EXPECT_EQ(run.stage, proxy_stage::run);
+    EXPECT_EQ(run.kv_handle, "handle");
+    return run;
+}
+
+void list_two_of_each_role(proxy_fixture &daemon)
+{
+    daemon.list_engines(2, engine_role::prefill);
+    daemon.list_engines(2, engine_role::decode);
+}
+
+// A second prefill call counts against the budget, and so does the run after
+// it.
+TEST(proxy_retry, a_retry_after_a_hand_over_is_one_extra_call)
+{
+    proxy_fixture daemon;
+    list_two_of_each_role(daemon);
+    auto const run = handed_over_call(daemon);
+    daemon.reply_ends(run.attempt, proxy_event_kind::failed_after_send);
+    auto const retry = only_call(step(daemon));
+    EXPECT_EQ(retry.stage, proxy_stage::run);
+    EXPECT_EQ(retry.kv_handle, "");
+}
+
+TEST(proxy_retry, a_handle_that_was_not_sent_is_offered_to_another_engine)
+{
+    proxy_fixture daemon;
+    list_two_of_each_role(daemon);
+    auto const run = handed_over_call(daemon);
+    daemon.reply_ends(run.attempt, proxy_event_kind::failed_before_send);
+    auto const retry = only_call(step(daemon));
+    EXPECT_EQ(retry.stage, proxy_stage::run);
+    EXPECT_EQ(retry.kv_handle, "handle");
+    EXPECT_NE(retry.instance, run.instance);
+}
+
+/// Calls of one request that reached an engine and count as such.
+struct counted_calls
+{
+    int runs = 0;
+    int prefills = 0;
+
+    /// @return calls that count against the budget: all but the first one and
+    ///         the first prefill
+    int extra() const
+    {
+        return std::max(runs + std::max(prefills - 1, 0) - 1, 0);
+    }
+};
+
+/// Answers a prefill call; breaks the first run of every fourth request off,
+/// and completes the other runs.
+void answer_call(proxy_fixture &daemon, proxy_call const &call,
+                 counted_calls &counted)
+{
+    if (call.stage == proxy_stage::prefill)
+    {
+        ++counted.prefills;
+        daemon.state.in.prefill_results.push_back({call.attempt, "handle"});
+        return;
+    }
+    bool const first = counted.runs++ == 0;
+    if (first && call.request.value() % 4 == 0)
+    {
+        daemon.reply_ends(call.attempt, proxy_event_kind::failed_after_send);
+        return;
+    }
+    daemon.reply_head(call.attempt, 200);
+    daemon.reply_bytes(call.attempt, "id: 1\ndata: a\n\n");
+    daemon.reply_ends(call.attempt, proxy_event_kind::finished);
+}
+
+TEST(proxy_retry, broken_runs_after_hand_overs_stay_within_the_budget)
+{
+    proxy_fixture daemon;
+    daemon.list_engines(6, engine_role::prefill);
+    daemon.list_engines(6, engine_role::decode);
+    std::map<request_number, counted_calls> counted;
+    constexpr int requests = 400;
+    for (int i = 0; i < requests; ++i)
+    {
+        daemon.send("/chat/1", static_cast<std::uint64_t>(7 + i), 9000);
+        for (auto const &call : step(daemon).proxy_calls)
+        {
+            answer_call(daemon, call, counted[call.request]);
+        }
+    }
+    int const extra = std::accumulate(counted.begin(), counted.end(), 0,
+                                      [](int sum, auto const &item)
+                                      { return sum + item.second.extra(); });
+    auto const &limits = daemon.state.proxy.limits.retries;
+    EXPECT_GT(extra, 0);
+    EXPECT_LE(extra, limits.share * requests + limits.extra / 4);
+}
+
 } // namespace
