Charge a retry to the budget when it is sent

What callers could see, shown by tests only: requests failed with 502 because the retry budget had been used up by retries that never reached an instance.

Cause: the budget was charged when a retry was decided. A retry that then found no instance, or whose caller left, stayed charged for 10 s. A retry that waited, for seconds at an engine limit or a pause, was charged long before it was sent, so that the calls of one window could exceed what was charged in it.

Change: a retry reserves its call; the send charges it at that time, and the end of the request releases it otherwise.

Why it works: charged and reserved calls together never exceed the limit at the time of a reservation, and only sent calls stay charged.

--- a/src/admit_proxied_requests.cpp
+++ b/src/admit_proxied_requests.cpp
@@ -131,8 +131,7 @@
                      {"answering", request->answering ? "true" : "false"}},
                     true);
     ++w.proxy.metrics.requests["caller_left"];
-    std::erase(w.proxy.waiting, disconnect.request);
-    w.proxy.requests.erase(disconnect.request);
+    remove_proxied_request(w, disconnect.request);
 }
 
 } // namespace
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -119,6 +119,10 @@
     instance.open_calls.insert(attempt);
     instance.add_unread_tokens(choice.prediction.unread_tokens, background);
     instance.cache.record_prompt(request.chain, w.now);
+    if (std::exchange(request.retry_reserved, false))
+    {
+        proxy.budgets[request.service].charge(w.now);
+    }
     request.attempt = attempt;
     request.tried_instances.push_back(choice.instance);
     request.runs += prefill ? 0 : 1;
--- a/src/proxy_lifecycle.cpp
+++ b/src/proxy_lifecycle.cpp
@@ -43,15 +43,19 @@
     return next == nullptr ? duration(0) : available_from(w, *next) - w.now;
 }
 
-void remove_request(world &w, request_number number)
+} // namespace
+
+void remove_proxied_request(world &w, request_number number)
 {
-    auto &waiting = w.proxy.waiting;
-    std::erase(waiting, number);
+    auto const *request = w.proxy.requests.find(number);
+    if (request != nullptr && request->retry_reserved)
+    {
+        w.proxy.budgets[request->service].release();
+    }
+    std::erase(w.proxy.waiting, number);
     w.proxy.requests.erase(number);
 }
 
-} // namespace
-
 void close_attempt(world &w, attempt_number attempt, call_result result)
 {
     auto const *call = w.proxy.requests.find(attempt);
@@ -137,7 +141,7 @@
                     true);
     answer(w, std::move(reply));
     ++w.proxy.metrics.requests[request->answering ? "cut" : "refused"];
-    remove_request(w, number);
+    remove_proxied_request(w, number);
 }
 
 void fail_proxied_request(world &w, request_number number,
@@ -187,7 +191,7 @@
          {"late", late ? "true" : "false"},
          {"sends", std::to_string(request->sends)}},
         late || outcome != "answered");
-    remove_request(w, number);
+    remove_proxied_request(w, number);
 }
 
 bool retry_proxied_request(world &w, proxy_request_state &request, bool extra,
@@ -203,7 +207,7 @@
     {
         return false;
     }
-    if (extra && !proxy.budgets[request.service].spend(
+    if (extra && !proxy.budgets[request.service].reserve(
                      w.now, proxy.limits.retries, proxy.effective_fleet_size()))
     {
         ++proxy.metrics.retries_denied;
@@ -213,6 +217,7 @@
         return false;
     }
     ++proxy.metrics.retries;
+    request.retry_reserved = extra;
     request.not_before = next;
     proxy.waiting.push_back(request.number);
     buffer_request_log(w, request, "request_retried",
--- a/src/proxy_lifecycle.hpp
+++ b/src/proxy_lifecycle.hpp
@@ -49,6 +49,9 @@
 void fail_proxied_request(world &w, request_number number,
                           std::string const &message);
 
+/// Forgets a request, and ends the reservation of a call that it waits for.
+void remove_proxied_request(world &w, request_number number);
+
 /// Ends a request after its answer has been forwarded to the caller.
 ///
 /// @param outcome value of the outcome label in the log and the metrics
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -50,6 +50,8 @@
     int runs = 0;
     /// Number of calls that reached an instance, including refused ones.
     int sends = 0;
+    /// The next call is reserved in the retry budget.
+    bool retry_reserved = false;
     /// Time before which the request is not placed, after a failed call or
     /// because engines were at their concurrency limit.
     instant not_before{};
--- a/src/shared_retry_budget.cpp
+++ b/src/shared_retry_budget.cpp
@@ -54,18 +54,29 @@
     auto const allowed =
         budget_safety_factor *
         (limits.share * requests + limits.extra / std::max(1.0, daemons));
-    return allowed - extra;
+    return allowed - extra - reserved_;
 }
 
-bool shared_retry_budget::spend(instant now, retry_limits const &limits,
-                                double daemons)
+bool shared_retry_budget::reserve(instant now, retry_limits const &limits,
+                                  double daemons)
 {
     if (remaining(now, limits, daemons) < 1)
     {
         return false;
     }
-    ++current(now).extra;
+    ++reserved_;
     return true;
 }
 
+void shared_retry_budget::charge(instant now)
+{
+    --reserved_;
+    ++current(now).extra;
+}
+
+void shared_retry_budget::release()
+{
+    --reserved_;
+}
+
 } // namespace agateledge
--- a/src/shared_retry_budget.hpp
+++ b/src/shared_retry_budget.hpp
@@ -28,15 +28,22 @@
     /// Records a request, which raises the budget.
     void record_request(instant now);
 
-    /// Takes one extra call from the budget.
+    /// Reserves one extra call. The reservation lasts until `charge` or
+    /// `release`.
     ///
     /// @param limits limits over all daemons
     /// @param daemons number of daemons that share the limits; values below 1
     ///        count as 1
     /// @return false when this daemon's share is exhausted
-    bool spend(instant now, retry_limits const &limits, double daemons);
+    bool reserve(instant now, retry_limits const &limits, double daemons);
 
-    /// @return number of extra calls that are left
+    /// Turns a reservation into an extra call that is sent now.
+    void charge(instant now);
+
+    /// Ends the reservation of a call that is not sent.
+    void release();
+
+    /// @return number of extra calls that are neither sent nor reserved
     double remaining(instant now, retry_limits const &limits, double daemons);
 
 private:
@@ -51,6 +58,7 @@
     void expire(instant now, duration window);
 
     std::deque<slot> slots_;
+    int reserved_ = 0;
 };
 
 } // namespace agateledge
--- a/test/correctness/proxy_retry_test.cpp
+++ b/test/correctness/proxy_retry_test.cpp
@@ -305,4 +305,46 @@
     EXPECT_LE(extra, limits.share * requests + limits.extra / 4);
 }
 
+// Each refusal reserves a retry that finds no instance.
+TEST(proxy_retry, retries_that_are_not_sent_leave_the_budget_to_others)
+{
+    proxy_fixture daemon;
+    daemon.list_endpoints(1);
+    constexpr int requests = 60;
+    for (int i = 0; i < requests; ++i)
+    {
+        daemon.send("/look/1");
+    }
+    for (auto const &call : step(daemon).proxy_calls)
+    {
+        daemon.reply_head(call.attempt, 503, true);
+    }
+    daemon.instances_changed({}, {"desk-1"});
+    EXPECT_TRUE(step(daemon).proxy_calls.empty());
+    EXPECT_EQ(daemon.state.proxy.requests.size(), 0U);
+    daemon.list_endpoints(2);
+    daemon.send("/look/1");
+    auto const first = only_call(step(daemon));
+    daemon.reply_ends(first.attempt, proxy_event_kind::failed_after_send);
+    EXPECT_EQ(step(daemon).proxy_calls.size(), 1U);
+}
+
+TEST(proxy_retry, a_retry_counts_from_the_time_at_which_it_is_sent)
+{
+    shared_retry_budget budget;
+    retry_limits const limits;
+    instant const start(seconds(100));
+    auto const left = [&](duration after)
+    { return budget.remaining(start + after, limits, 1); };
+    auto const full = left(duration(0));
+    ASSERT_TRUE(budget.reserve(start, limits, 1));
+    EXPECT_EQ(left(seconds(4)), full - 1);
+    budget.charge(start + seconds(4));
+    EXPECT_EQ(left(milliseconds(13900)), full - 1);
+    EXPECT_EQ(left(milliseconds(15100)), full);
+    ASSERT_TRUE(budget.reserve(start + seconds(16), limits, 1));
+    budget.release();
+    EXPECT_EQ(left(seconds(16)), full);
+}
+
 } // namespace
