Do not offer a KV cache again after an error reply

What callers could see, shown by a test only: a retry after a 5xx reply was refused once before it ran, which took time and a second call from the retry budget.

Cause: a failed connection dropped the handle of the KV cache, an error reply did not. A handle can be taken once, so that the next engine refuses the call that offers it again.

Why it works: the retry prefills the prompt itself, which needs no handle.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -322,6 +322,8 @@
     {
         request.head.reset();
         request.body.clear();
+        // The engine that replied has taken the KV cache.
+        request.retained_prefill.reset();
         return;
     }
     if (request.answering || means_not_run(status))
--- a/test/correctness/proxy_retry_test.cpp
+++ b/test/correctness/proxy_retry_test.cpp
@@ -246,6 +246,19 @@
     EXPECT_NE(retry.instance, run.instance);
 }
 
+// A handle can be taken once; the next engine would refuse the call.
+TEST(proxy_retry, a_handle_is_not_offered_again_after_an_error_reply)
+{
+    proxy_fixture daemon;
+    list_two_of_each_role(daemon);
+    auto const run = handed_over_call(daemon);
+    daemon.reply_head(run.attempt, 500);
+    daemon.reply_ends(run.attempt, proxy_event_kind::finished);
+    auto const retry = only_call(step(daemon));
+    EXPECT_EQ(retry.stage, proxy_stage::run);
+    EXPECT_EQ(retry.kv_handle, "");
+}
+
 /// Calls of one request that reached an engine and count as such.
 struct counted_calls
 {
