--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -103,15 +103,18 @@
                         {"sent", sent ? "true" : "false"},
                         {"stage", prefill ? "prefill" : "run"},
                         {"reason", reason}});
-    if (!sent)
+    if (sent)
+    {
+        request->prefill_failed |= prefill;
+        // The handle may have been used, so it is not offered again; an unused
+        // KV cache expires on the engine that holds it.
+        request->retained_prefill.reset();
+    }
+    else
     {
         request->runs -= prefill ? 0 : 1;
         --request->sends;
     }
-    request->prefill_failed |= prefill && sent;
-    // The handle may have been used, so it is not offered again; an unused KV
-    // cache expires on the engine that holds it.
-    request->retained_prefill.reset();
     retry_or_fail(w, number, sent, duration(0), reason);
 }
 
@@ -167,6 +170,10 @@
                             "the reply is not signed by the instance");
         return;
     }
+    if (is_success(head->status) && attempt.stage == proxy_stage::prefill)
+    {
+        return;
+    }
     if (auto *request = w.proxy.requests.find(attempt.request))
     {
         request->head = head;
@@ -316,6 +323,8 @@
     {
         request.head.reset();
         request.body.clear();
+        // The engine that replied has taken the KV cache.
+        request.retained_prefill.reset();
         return;
     }
     if (request.answering || means_not_run(status))
@@ -417,6 +426,7 @@
     record_first_bytes(w, *attempt);
     count_call(w, "prefilled");
     ++w.proxy.metrics.prefill_handovers;
+    request->prefilled = true;
     request->retained_prefill = kept_prefill{
         attempt->instance, instance->definition.address, result.handle};
     close_attempt(w, result.attempt, call_result::succeeded);
