Read each host of a list by itself

Seen: a host entry that is nested too deeply, or has a number beyond a double, made the list of the membership service unreadable, and the daemon stopped following it. A list in which no host is readable was taken for an empty one.

Cause: the parser refuses the whole document because of one of its values.

Evidence: peer_messages_fuzz.a_host_that_the_parser_refuses_hides_no_other; before, "invalid JSON: '1e400' is not a number". a_list_without_a_readable_host_is_refused; before, {"hosts":[7]} was accepted.

Why it works: `json_elements` finds the elements of the list by brackets and strings, without recursion, and each is parsed by itself. A list that is torn, or has no readable host, is refused as a whole.

--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -1,5 +1,6 @@
 #include "peer_messages.hpp"
 
+#include "json_slices.hpp"
 #include "json_text.hpp"
 #include "result_code.hpp"
 
@@ -7,6 +8,7 @@
 #include <functional>
 #include <iterator>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -154,19 +156,29 @@
     }
 }
 
-/// @return the hosts that can be read; other writers may have left entries that
-///         cannot
-membership_report read_report(Json::Value const &in)
+/// Reads each host by itself: an entry of another writer that cannot be read,
+/// or that the parser refuses, hides no other.
+///
+/// @return nothing when `text` is no list, or has hosts but none is readable
+std::optional<membership_report> read_hosts(std::string_view text)
 {
+    auto const entries = json_elements(text);
+    if (!entries || entries->size() > max_items)
+    {
+        return std::nullopt;
+    }
     membership_report out;
-    for (auto &host : list_from(in["hosts"], host_from))
+    for (auto const entry : *entries)
     {
+        auto const in = json_from_text(entry);
+        auto host = in.ok() ? host_from(*in) : std::nullopt;
         if (host)
         {
             out.hosts.push_back(*std::move(host));
         }
     }
-    return out;
+    return out.hosts.empty() && !entries->empty() ? std::nullopt
+                                                  : std::optional(out);
 }
 
 /// Parses a JSON document and converts it with `read`.
@@ -236,7 +248,11 @@
 absl::StatusOr<membership_report>
 membership_report_from_text(std::string const &text)
 {
-    return read_document(text, "list of hosts", read_report);
+    auto const list = json_member(text, "hosts");
+    auto const report = list ? read_hosts(*list) : std::nullopt;
+    return report ? absl::StatusOr<membership_report>(*report)
+                  : make_status(result_code::invalid_request,
+                                "not a list of readable hosts");
 }
 
 } // namespace agateledge
--- a/src/peer_messages.hpp
+++ b/src/peer_messages.hpp
@@ -30,9 +30,11 @@
 absl::StatusOr<configuration_document>
 configuration_reply_from_text(std::string const &text);
 
-/// Parses the platform's list of hosts.
+/// Parses the platform's list of hosts. Entries that cannot be read are left
+/// out.
 ///
-/// @return the report, or `invalid_request` when the document is malformed
+/// @return the report, or `invalid_request` when the document has no list of
+///         hosts, or none of them can be read
 absl::StatusOr<membership_report>
 membership_report_from_text(std::string const &text);
 
--- a/test/error/peer_messages_fuzz_test.cpp
+++ b/test/error/peer_messages_fuzz_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 namespace agateledge
 {
@@ -162,5 +163,48 @@
     }
 }
 
+// The parser refuses the whole document because of one of its values.
+TEST(peer_messages_fuzz, a_host_that_the_parser_refuses_hides_no_other)
+{
+    std::vector<std::string> const values{
+        std::string(100'000, '[') + std::string(100'000, ']'), "1e400",
+        std::string(1000, '9'), R"("\ud800")", R"({"]":"}","\"":1e400})"};
+    for (auto const &value : values)
+    {
+        auto const report = membership_report_from_text(
+            R"({"x":1e400,"hosts" : [ {"name":"first","data_centre":"b"},)"
+            R"({"name":"odd","x":)" +
+            value + R"(}, {"name":"last, \"]}","data_centre":"b"} ] } )");
+        ASSERT_TRUE(report.ok())
+            << value.substr(0, 50) << ": " << report.status();
+        ASSERT_GE(report->hosts.size(), 2U) << value.substr(0, 50);
+        EXPECT_EQ(report->hosts.front().name, "first");
+        EXPECT_EQ(report->hosts.back().name, "last, \"]}");
+    }
+}
+
+// An empty list would remove all hosts.
+TEST(peer_messages_fuzz, a_list_without_a_readable_host_is_refused)
+{
+    EXPECT_TRUE(membership_report_from_text(R"({"hosts":[]})").ok());
+    for (auto const *list : {R"({"hosts":[7]})", R"({"hosts":[1e400]})",
+                             R"({"hosts":[x,y]})", R"({"hosts":{"name":"a"}})",
+                             R"({"hosts":[}]})", R"({"hosts":1e400})"})
+    {
+        EXPECT_FALSE(membership_report_from_text(list).ok()) << list;
+    }
+}
+
+TEST(peer_messages_fuzz, a_torn_list_of_hosts_is_refused)
+{
+    std::string const list =
+        R"({"hosts":[{"name":"a","x":1e400},{"name":"b"}]})";
+    for (std::size_t size = 0; size < list.size(); ++size)
+    {
+        EXPECT_FALSE(membership_report_from_text(list.substr(0, size)).ok())
+            << list.substr(0, size);
+    }
+}
+
 } // namespace
 } // namespace agateledge
