Hold requests of a restarted daemon until its revision is confirmed

Seen: until the table service or a peer had answered, a restarted daemon sent generations and look-ups to the engines and endpoints of its settings file, also to those that a later revision had withdrawn.

Cause: only non-idempotent calls waited for the first confirmation.

Evidence: restart.a_withdrawn_engine_gets_no_work and a_withdrawn_endpoint_gets_no_work; before, a call was sent at once and none to the engine or endpoint of the revision in force.

Why it works: all requests wait, for at most 10 s; after that, idempotent work is served by the settings as before, for which restart.idempotent_work_goes_on_by_the_settings_without_a_confirmation is a test. What is left: a caller's token is still checked by the settings when a request arrives in that time.

--- a/src/dispatch_requests.cpp
+++ b/src/dispatch_requests.cpp
@@ -130,10 +130,6 @@
     {
         return false;
     }
-    if (!request.arrival.idempotent && configuration_pending(w))
-    {
-        return false;
-    }
     if (!request.arrival.idempotent && configuration_stale(w))
     {
         refuse_request(w, request.arrival.request,
@@ -157,6 +153,10 @@
 
 bool dispatch(world &w, request_state &request)
 {
+    if (configuration_pending(w))
+    {
+        return false;
+    }
     if (request.arrival.service.empty())
     {
         return send_to_engine(w, request);
