--- a/test/error/odd_number_test.cpp
+++ b/test/error/odd_number_test.cpp
@@ -57,7 +57,7 @@
     {
         text.replace(place, 1, number);
     }
-    auto const config = platform::decode_configuration(text);
+    auto config = platform::decode_configuration(text);
     EXPECT_TRUE(config.ok() || is_beyond_double(number))
         << number << ": " << config.status();
     return config;
@@ -138,11 +138,10 @@
     auto const codec = platform::make_codec();
     for (std::string const number : numbers)
     {
-        auto const reply = codec.decode_cache_read(
-            {}, 200,
-            R"({"epoch":1,"next":)" + number + R"(,"events":[)" +
-                R"([1,"+","","a1",)" + number + R"(,"m"],)" +
-                R"([2,"+","","a2",5,"m"]]})");
+        std::string body = R"({"epoch":1,"next":)";
+        body.append(number).append(R"(,"events":[[1,"+","","a1",)");
+        body.append(number).append(R"(,"m"],[2,"+","","a2",5,"m"]]})");
+        auto const reply = codec.decode_cache_read({}, 200, body);
         if (is_beyond_double(number) && !reply.answered)
         {
             EXPECT_TRUE(reply.changes.empty());
--- a/test/error/odd_table_row_test.cpp
+++ b/test/error/odd_table_row_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace
@@ -31,8 +32,9 @@
     {
         for (std::string const name : {"attempt", "fingerprint", "body"})
         {
-            out.push_back(R"({"state":"done","status":200,")" + name +
-                          "\":" + value + "}");
+            std::string text = R"({"state":"done","status":200,")";
+            text.append(name).append("\":").append(value).append("}");
+            out.push_back(std::move(text));
         }
     }
     return out;
--- a/test/error/proxy_stop_under_load_test.cpp
+++ b/test/error/proxy_stop_under_load_test.cpp
@@ -217,6 +217,7 @@
     stopping_daemon daemon;
     run_main_context_until([] { return false; }, milliseconds(500));
     std::vector<std::unique_ptr<kept_caller>> callers;
+    callers.reserve(2 * caller_count);
     for (int i = 0; i < caller_count; ++i)
     {
         callers.push_back(std::make_unique<kept_caller>(daemon.port, i));
--- a/test/error/repeated_reply_test.cpp
+++ b/test/error/repeated_reply_test.cpp
@@ -281,7 +281,7 @@
         auto const &replies = state.in.service_replies;
         EXPECT_TRUE(
             run_main_context_until([&replies] { return !replies.empty(); }));
-        auto const body = replies.empty() ? "" : replies.front().body;
+        auto body = replies.empty() ? "" : replies.front().body;
         settle();
         return body;
     }
@@ -362,7 +362,7 @@
         {
             if (contains(request, "order-1"))
             {
-                return refused;
+                return std::string(refused);
             }
             return index == 0 ? accepted : refused + accepted;
         });
@@ -380,7 +380,7 @@
         {
             if (contains(request, "/first"))
             {
-                return first;
+                return std::string(first);
             }
             return index == 0 ? second : first + second;
         });
