Evict entries of a cache's view in batches

An eviction looks at all 8,192 entries. With a full view, each new part and each change that an engine reports would cause one; evicting down to 15/16 of the limit leaves room for 512 before the next. Not measured. prompt_cache_view (3 tests) passes as before.

--- a/src/prompt_cache_view.cpp
+++ b/src/prompt_cache_view.cpp
@@ -25,6 +25,10 @@
 /// with a capacity of a million tokens holds some hundred prompts.
 constexpr std::size_t max_entries = 8192;
 
+/// Parts that an eviction leaves. An eviction looks at all parts, so that it
+/// has to be rare.
+constexpr std::size_t kept_entries = max_entries / 16 * 15;
+
 /// Engines cache only complete blocks of tokens, so that up to one block may be
 /// missing at the end of a part.
 constexpr int block_tokens = 16;
@@ -164,7 +168,7 @@
                                return use(item.second.last_used_at, item.first);
                            });
     auto const excess =
-        static_cast<std::ptrdiff_t>(entries_.size() - max_entries);
+        static_cast<std::ptrdiff_t>(entries_.size() - kept_entries);
     std::ranges::nth_element(uses, uses.begin() + excess);
     std::for_each(uses.begin(), uses.begin() + excess,
                   [this](use const &item) { entries_.erase(item.second); });
