End the process in the test of a planned stop

The test only noted that the stop was complete, so that connections stayed open and a stop that comes too early was not seen. The process and its connections now end with the stop, as they do in the daemon.

--- a/test/error/proxy_stop_under_load_test.cpp
+++ b/test/error/proxy_stop_under_load_test.cpp
@@ -148,17 +148,31 @@
           desk_([](SoupServerMessage *message, std::string const &,
                    std::string const &) { serve_desk(message); }),
           store_([this](SoupServerMessage *message, std::string const &path,
-                        std::string const &) { serve_store(message, path); }),
-          process(settings_of(), "", platform::make_codec(),
-                  incarnation_number(1), 1)
+                        std::string const &) { serve_store(message, path); })
     {
-        process.on_stopped = [this] { stopped = true; };
-        auto const status = process.start();
+        process_ = std::make_unique<proxy_process>(settings_of(), "",
+                                                   platform::make_codec(),
+                                                   incarnation_number(1), 1);
+        process_->on_stopped = [this] { stopped_ = true; };
+        auto const status = process_->start();
         EXPECT_TRUE(status.ok()) << status;
     }
 
+    void shut_down() { process_->shut_down(); }
+
+    /// Ends the process, and with it all its connections, once it has stopped.
+    ///
+    /// @return true when the process has ended
+    bool end_if_stopped()
+    {
+        if (stopped_)
+        {
+            process_.reset();
+        }
+        return !process_;
+    }
+
     int port;
-    bool stopped = false;
 
 private:
     proxy_settings settings_of() const
@@ -207,9 +221,8 @@
 
     scripted_http_server desk_;
     scripted_http_server store_;
-
-public:
-    proxy_process process;
+    std::unique_ptr<proxy_process> process_;
+    bool stopped_ = false;
 };
 
 TEST(proxy_stop_under_load, every_request_that_was_sent_is_answered)
@@ -222,14 +235,14 @@
     {
         callers.push_back(std::make_unique<kept_caller>(daemon.port, i));
     }
-    auto const step = [&callers](bool may_send)
+    auto const step = [&callers, &daemon](bool may_send)
     {
         std::ranges::for_each(callers, [may_send](auto const &caller)
                               { caller->step(may_send); });
-        return false;
+        return daemon.end_if_stopped();
     };
     run_main_context_until([&step] { return step(true); }, time_before_stop);
-    daemon.process.shut_down();
+    daemon.shut_down();
     // New connections, which the balancer still opens, and kept ones.
     for (int i = 0; i < caller_count; ++i)
     {
@@ -237,8 +250,8 @@
             std::make_unique<kept_caller>(daemon.port, caller_count + i));
     }
     run_main_context_until([&step] { return step(true); }, time_of_sending);
-    EXPECT_TRUE(run_main_context_until(
-        [&] { return step(false), daemon.stopped; }, time_to_exit));
+    EXPECT_TRUE(
+        run_main_context_until([&step] { return step(false); }, time_to_exit));
     for (auto const &caller : callers)
     {
         EXPECT_GT(caller->sent, 0);
