Refuse unsent requests of callers that a revision withdraws

Seen: a request whose key the settings file names, and which arrived at a restarted daemon before the revision in force was known, was served although that revision had withdrawn the key.

Cause: a key is only checked when its request arrives.

Evidence: restart.a_withdrawn_key_gets_no_answer; before, a generation and a look-up were sent, where both have to be refused as `unauthenticated`. restart.a_key_that_still_holds_is_served passes before and after.

Why it works: when a revision comes into force, the requests that have not been sent to an engine or endpoint are compared with its callers. Those that have been sent end as before.

--- a/src/apply_configuration.cpp
+++ b/src/apply_configuration.cpp
@@ -4,6 +4,7 @@
 #include "backoff_delay.hpp"
 #include "configuration_head.hpp"
 #include "configuration_json.hpp"
+#include "refuse_withdrawn_callers.hpp"
 #include "rendezvous_rank.hpp"
 #include "send_table_call.hpp"
 #include "world.hpp"
@@ -335,6 +336,7 @@
     {
         w.config_sync.started_at = w.now;
     }
+    auto const revision_before = w.config.revision;
     for (auto const &reply : w.in.table_replies)
     {
         if (reply.owner == table_owner::configuration)
@@ -348,6 +350,10 @@
     }
     std::ranges::for_each(w.in.heartbeats, [&w](heartbeat const &message)
                           { handle_heartbeat(w, message); });
+    if (w.config.revision != revision_before)
+    {
+        refuse_withdrawn_callers(w);
+    }
     poll_table_service(w);
 }
 
--- a/test/correctness/restart_test.cpp
+++ b/test/correctness/restart_test.cpp
@@ -1,12 +1,14 @@
 // Guards against a restarted daemon that works by its settings file although a
 // newer revision withdrew an engine, an endpoint or a caller's key.
 #include "apply_configuration.hpp"
+#include "configuration_json.hpp"
 #include "tick.hpp"
 #include "world.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -120,6 +122,39 @@
     EXPECT_EQ(state.out.service_calls.front().endpoint, "d-new");
 }
 
+// The key was accepted by the settings file, before the revision was known.
+TEST_F(restart, a_withdrawn_key_gets_no_answer)
+{
+    state.in.arrivals.push_back(generation());
+    state.in.arrivals.push_back(look_up());
+    step();
+    auto other_callers = revision_in_force();
+    other_callers.callers.front().name = "stand-13";
+    state.in.configuration_documents.push_back(
+        {"daemon-1", configuration_to_json(other_callers), 0});
+    std::vector<result_code> codes;
+    for (int i = 0; i < 10; ++i)
+    {
+        step();
+        EXPECT_TRUE(state.out.engine_calls.empty());
+        EXPECT_TRUE(state.out.service_calls.empty());
+        std::ranges::transform(state.out.caller_replies,
+                               std::back_inserter(codes), &caller_reply::code);
+    }
+    EXPECT_EQ(codes, std::vector(2, result_code::unauthenticated));
+}
+
+TEST_F(restart, a_key_that_still_holds_is_served)
+{
+    state.in.arrivals.push_back(generation());
+    step();
+    state.in.configuration_documents.push_back(
+        {"daemon-1", configuration_to_json(revision_in_force()), 0});
+    step();
+    ASSERT_EQ(state.out.engine_calls.size(), 1U);
+    EXPECT_EQ(state.out.engine_calls.front().engine, "e-new");
+}
+
 TEST_F(restart, idempotent_work_goes_on_by_the_settings_without_a_confirmation)
 {
     state.in.arrivals.push_back(look_up());
