Continue a stream only by events that follow its last one

A stream whose events have no ids was begun again and joined to its first part. An error status below 500 cut the stream even where a further call was allowed; its text was not forwarded.

A reply now continues a stream if its status is 200, it is signed and it is declared as the stream was; its events must have a number, and those up to the last one sent are dropped. A stream is continued only after an event with a number. Anything else, error replies included, counts as a failed call: another one within the limits of the route and the budget, or the caller's stream is cut without the end of its body.

--- a/harness/proxy_fixture.cpp
+++ b/harness/proxy_fixture.cpp
@@ -207,6 +207,13 @@
     head.status = status;
     head.not_run = not_run;
     head.is_signed = !not_run;
+    head.is_event_stream = status == 200;
+    reply_head(attempt, head);
+}
+
+void proxy_fixture::reply_head(attempt_number attempt,
+                               proxy_reply_head const &head)
+{
     proxy_event event;
     event.attempt = attempt;
     event.kind = proxy_event_kind::head;
--- a/harness/proxy_fixture.hpp
+++ b/harness/proxy_fixture.hpp
@@ -59,8 +59,10 @@
     request_number send(std::string const &path, std::uint64_t shared_part = 0,
                         int shared_tokens = 0, int unshared_tokens = 100);
 
-    /// Supplies the head of a reply; it is signed unless `not_run` is set.
+    /// Supplies the head of a reply; it is signed unless `not_run` is set. A
+    /// successful one declares a stream of events in chunks.
     void reply_head(attempt_number attempt, int status, bool not_run = false);
+    void reply_head(attempt_number attempt, proxy_reply_head const &head);
     void reply_bytes(attempt_number attempt, std::string const &bytes);
     void reply_ends(attempt_number attempt, proxy_event_kind kind);
 
--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -1,5 +1,6 @@
 #include "advance_proxied_requests.hpp"
 
+#include "event_number.hpp"
 #include "extract_new_events.hpp"
 #include "log_proxied_request.hpp"
 #include "predict_event_gap.hpp"
@@ -52,6 +53,28 @@
            is_success(request.head->status);
 }
 
+/// @return true when a request that has reached an instance may be sent to a
+///         further one
+bool may_send_again(proxy_request_state const &request)
+{
+    bool const may_repeat = request.runs == 0 || request.route->can_retry();
+    // A stream whose place is not known cannot be continued.
+    bool const may_continue =
+        !request.answering ||
+        (request.route->resumable && event_number(request.last_event));
+    return may_repeat && may_continue;
+}
+
+/// @return true for a head whose body may go to the caller, who may have
+///         received a part of the stream
+bool fits_answer(proxy_request_state const &request,
+                 proxy_reply_head const &head)
+{
+    return !request.answering || !is_success(head.status) ||
+           (head.status == http_ok &&
+            head.is_event_stream == request.is_event_stream);
+}
+
 void count_call(world &w, std::string const &result)
 {
     ++w.proxy.metrics.calls[result];
@@ -73,9 +96,7 @@
     request->head.reset();
     request->body.clear();
     request->partial_event.clear();
-    bool const may_repeat = request->runs == 0 || request->route->can_retry();
-    bool const may_resume = !request->answering || request->route->resumable;
-    if (may_repeat && may_resume &&
+    if (may_send_again(*request) &&
         retry_proxied_request(w, *request, arrived, pause, reason))
     {
         request->resumes += request->answering ? 1 : 0;
@@ -167,10 +188,18 @@
                             "the reply is not signed by the instance");
         return;
     }
-    if (auto *request = w.proxy.requests.find(attempt.request))
+    auto *request = w.proxy.requests.find(attempt.request);
+    if (request == nullptr)
+    {
+        return;
+    }
+    if (!fits_answer(*request, *head))
     {
-        request->head = head;
+        handle_call_failure(w, attempt, true,
+                            "the reply does not continue the stream");
+        return;
     }
+    request->head = head;
 }
 
 /// Updates the predictions for the instance from the first bytes of a reply.
@@ -209,6 +238,7 @@
         return;
     }
     request.first_event_at = w.now;
+    request.is_event_stream = request.head->is_event_stream;
     proxy_answer answer;
     answer.request = request.number;
     answer.kind = proxy_answer_kind::begin;
@@ -234,21 +264,25 @@
     }
 }
 
-void forward_events(world &w, proxy_attempt const &attempt,
+/// Forwards the complete events of the reply.
+///
+/// @return false when the reply does not continue the stream
+bool forward_events(world &w, proxy_attempt const &attempt,
                     proxy_request_state &request)
 {
-    auto events = extract_new_events(request.partial_event, request.last_event);
-    if (events.empty())
-    {
-        return;
-    }
-    begin_answer(w, request);
-    record_event_time(w, attempt, request);
-    proxy_answer answer;
-    answer.request = request.number;
-    answer.kind = proxy_answer_kind::body_chunk;
-    answer.bytes = std::move(events);
-    w.out.proxy_answers.push_back(std::move(answer));
+    auto events = extract_new_events(request.partial_event, request.last_event,
+                                     request.resumes > 0);
+    if (!events.text.empty())
+    {
+        begin_answer(w, request);
+        record_event_time(w, attempt, request);
+        proxy_answer answer;
+        answer.request = request.number;
+        answer.kind = proxy_answer_kind::body_chunk;
+        answer.bytes = std::move(events.text);
+        w.out.proxy_answers.push_back(std::move(answer));
+    }
+    return !events.unnumbered;
 }
 
 void handle_reply_bytes(world &w, proxy_attempt &attempt,
@@ -263,7 +297,12 @@
     if (is_stream(*request))
     {
         request->partial_event += bytes;
-        forward_events(w, attempt, *request);
+        if (!forward_events(w, attempt, *request))
+        {
+            handle_call_failure(w, attempt, true,
+                                "the reply does not continue the stream");
+            return;
+        }
     }
     else
     {
@@ -307,22 +346,25 @@
 void handle_error_reply(world &w, proxy_request_state &request)
 {
     auto const status = request.head->status;
+    auto const reason =
+        "the instance replied with status " + std::to_string(status);
+    if (request.answering)
+    {
+        retry_or_fail(w, request.number, true, duration(0), reason);
+        return;
+    }
     bool const again =
         status >= first_server_error && request.route->can_retry() &&
-        retry_proxied_request(w, request, true, duration(0),
-                              "the instance replied with status " +
-                                  std::to_string(status));
+        retry_proxied_request(w, request, true, duration(0), reason);
     if (again)
     {
         request.head.reset();
         request.body.clear();
         return;
     }
-    if (request.answering || means_not_run(status))
+    if (means_not_run(status))
     {
-        fail_proxied_request(w, request.number,
-                             "the instance replied with status " +
-                                 std::to_string(status));
+        fail_proxied_request(w, request.number, reason);
         return;
     }
     forward_complete_answer(w, request);
--- a/src/extract_new_events.cpp
+++ b/src/extract_new_events.cpp
@@ -1,8 +1,8 @@
 #include "extract_new_events.hpp"
 
-#include <charconv>
-#include <cstdint>
-#include <optional>
+#include "event_number.hpp"
+
+#include <algorithm>
 #include <string_view>
 
 namespace agateledge
@@ -54,39 +54,33 @@
     return id;
 }
 
-std::optional<std::uint64_t> parse_number(std::string_view text)
-{
-    std::uint64_t value = 0;
-    auto const [stop, error] =
-        std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || stop != text.data() + text.size())
-    {
-        return std::nullopt;
-    }
-    return value;
-}
-
 bool is_duplicate(std::string_view id, std::string_view last_id)
 {
-    auto const number = parse_number(id);
-    auto const last = parse_number(last_id);
+    auto const number = event_number(id);
+    auto const last = event_number(last_id);
     return number && last && *number <= *last;
 }
 
 } // namespace
 
-std::string extract_new_events(std::string &buffer, std::string &last_id)
+event_batch extract_new_events(std::string &buffer, std::string &last_id,
+                               bool continued)
 {
-    std::string out;
+    event_batch out;
     std::string_view rest = buffer;
     auto length = event_length(rest);
     while (length != std::string_view::npos)
     {
         auto const event = rest.substr(0, length);
         auto const id = id_of(event);
+        out.unnumbered = continued && !event_number(id);
+        if (out.unnumbered)
+        {
+            break;
+        }
         if (!is_duplicate(id, last_id))
         {
-            out += event;
+            out.text += event;
             if (!id.empty())
             {
                 last_id = id;
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -152,6 +152,8 @@
     bool mismatched_attempt = false;
     /// The reply has the signature header of an instance.
     bool is_signed = false;
+    /// The body is declared as a stream of events.
+    bool is_event_stream = false;
     /// The reply came from another instance than the one that was called.
     bool wrong_instance = false;
 };
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -61,6 +61,8 @@
     bool prefill_failed = false;
     /// The status line and headers have been sent to the caller.
     bool answering = false;
+    /// The answer has begun with the head of an event stream.
+    bool is_event_stream = false;
     /// Number of calls that continued the stream of an earlier one.
     int resumes = 0;
     /// Id of the last event that was sent to the caller.
--- a/test/error/platform_codec_test.cpp
+++ b/test/error/platform_codec_test.cpp
@@ -138,6 +138,33 @@
     EXPECT_FALSE(codec.decode_head(call, {503, {}}).not_run);
 }
 
+TEST(platform_codec, a_reply_is_a_stream_only_if_it_is_declared_as_one)
+{
+    auto const codec = platform::make_codec();
+    proxy_call call;
+    call.content = std::make_shared<proxy_request const>();
+    auto const is_stream = [&](header_list const &headers) {
+        return codec.decode_head(call, {200, headers}).is_event_stream;
+    };
+    EXPECT_TRUE(is_stream({{"content-type", "Text/Event-Stream; charset=x"}}));
+    EXPECT_FALSE(is_stream({{"Content-Type", "application/json"}}));
+    EXPECT_FALSE(is_stream({}));
+}
+
+TEST(platform_codec, a_body_without_a_length_or_chunks_ends_by_its_connection)
+{
+    auto const codec = platform::make_codec();
+    proxy_call call;
+    call.content = std::make_shared<proxy_request const>();
+    auto const framing = [&](header_list const &headers) {
+        return codec.decode_head(call, {200, headers}).framing;
+    };
+    EXPECT_EQ(framing({}), body_framing::connection);
+    EXPECT_EQ(framing({{"content-length", "3"}}), body_framing::length);
+    EXPECT_EQ(framing({{"Transfer-Encoding", "chunked"}}),
+              body_framing::chunked);
+}
+
 TEST(platform_codec, entries_of_another_writer_name_no_instance)
 {
     ASSERT_TRUE(platform::decode_instance("i", entry));
