Do not complete a stream by a reply without events

A reply without events now completes a stream only after a last event, and only if a length or the last chunk marks its end: the engine then states that no event follows. The end of a connection does not state that. Otherwise the call has failed.

Before, two tests of stream_continuation failed: a_close_before_any_event_does_not_complete_a_stream ("last Which is: 4-byte object <03-00 00-00>" where aborted was expected) and a_stream_without_any_event_is_not_complete (the same, refused expected). a_whole_reply_without_events_completes_a_stream guards the other side.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -75,6 +75,20 @@
             head.is_event_stream == request.is_event_stream);
 }
 
+/// @return true when the end of the call's reply is the end of the stream
+bool completes_stream(proxy_request_state const &request,
+                      proxy_attempt const &attempt)
+{
+    if (attempt.forwarded_events || !request.head->is_event_stream)
+    {
+        return true;
+    }
+    // No event may be left after the last one. The end of a connection does not
+    // state that, because it may as well be a failure.
+    return !request.last_event.empty() &&
+           request.head->framing != body_framing::connection;
+}
+
 void count_call(world &w, std::string const &result)
 {
     ++w.proxy.metrics.calls[result];
@@ -267,13 +281,14 @@
 /// Forwards the complete events of the reply.
 ///
 /// @return false when the reply does not continue the stream
-bool forward_events(world &w, proxy_attempt const &attempt,
+bool forward_events(world &w, proxy_attempt &attempt,
                     proxy_request_state &request)
 {
     auto events = extract_new_events(request.partial_event, request.last_event,
                                      request.resumes > 0);
     if (!events.text.empty())
     {
+        attempt.forwarded_events = true;
         begin_answer(w, request);
         record_event_time(w, attempt, request);
         proxy_answer answer;
@@ -385,6 +400,12 @@
                             "the stream ended in the middle of an event");
         return;
     }
+    if (is_stream(*request) && !completes_stream(*request, attempt))
+    {
+        handle_call_failure(w, attempt, true,
+                            "the stream ended without an event");
+        return;
+    }
     record_first_bytes(w, attempt);
     bool const success = is_success(request->head->status);
     count_call(w, success ? "answered" : "error");
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -102,6 +102,8 @@
     /// The call was predicted to miss its target and was sent with the least
     /// urgent priority; predictions for other calls ignore it.
     bool background = false;
+    /// Events of the reply have been sent to the caller.
+    bool forwarded_events = false;
 };
 
 /// Open requests and their calls.
--- a/test/correctness/stream_continuation_test.cpp
+++ b/test/correctness/stream_continuation_test.cpp
@@ -78,10 +78,11 @@
     proxy_answer_kind last = proxy_answer_kind::begin;
 };
 
-proxy_reply_head stream_head()
+proxy_reply_head stream_head(body_framing framing = body_framing::chunked)
 {
     proxy_reply_head head;
     head.status = 200;
+    head.framing = framing;
     head.is_signed = true;
     head.is_event_stream = true;
     return head;
@@ -185,4 +186,33 @@
     EXPECT_EQ(last, proxy_answer_kind::aborted);
 }
 
+// The engine states by the last chunk that no event follows.
+TEST_F(stream_continuation, a_whole_reply_without_events_completes_a_stream)
+{
+    begin("/chat/1", first_event);
+    fail();
+    reply(stream_head(), "");
+    EXPECT_EQ(text, first_event);
+    EXPECT_EQ(last, proxy_answer_kind::end);
+}
+
+TEST_F(stream_continuation, a_close_before_any_event_does_not_complete_a_stream)
+{
+    begin("/chat/1", first_event);
+    fail();
+    reply(stream_head(body_framing::connection), "");
+    EXPECT_EQ(text, first_event);
+    EXPECT_EQ(last, proxy_answer_kind::aborted);
+}
+
+TEST_F(stream_continuation, a_stream_without_any_event_is_not_complete)
+{
+    daemon.list_engines(1, engine_role::mixed);
+    daemon.send("/once/1", 7, 1000);
+    step();
+    reply(stream_head(), "");
+    EXPECT_EQ(text, "");
+    EXPECT_EQ(last, proxy_answer_kind::refused);
+}
+
 } // namespace
