Use a separate connection for each GET to an endpoint

The product's own front door forwarded the truncated body of a GET as the endpoint's complete answer: its GETs reused connections, where a reply that ends between two chunks is not recognised.

Every call to an endpoint now has a connection of its own, as the other methods had before.

Before, truncated_reply.an_endpoint_has_not_answered_by_it failed for GET: 'kind_of_endpoint_reply("GET") Which is: 4-byte object <00-00 00-00>' (answered) where failed_after_send was expected. All error tests pass.

--- a/src/service_client.cpp
+++ b/src/service_client.cpp
@@ -32,8 +32,9 @@
     request.body = call.method == "GET" ? nullptr : call.body;
     request.total_timeout = call.timeout;
     // The server may close a reused connection while the call is written to it,
-    // which would leave the outcome of a non-idempotent call unknown.
-    request.new_connection = call.method != "GET";
+    // which would leave the outcome of a non-idempotent call unknown. Besides,
+    // a truncated reply is recognised on a separate connection only.
+    request.new_connection = true;
     if (!call.idempotency_key.empty())
     {
         request.headers = {{"Idempotency-Key", call.idempotency_key}};
--- a/test/error/truncated_reply_test.cpp
+++ b/test/error/truncated_reply_test.cpp
@@ -1,11 +1,15 @@
 // Guards against a truncated reply being taken for a complete one, for each
 // framing of the body and each way in which the connection can end.
+#include "daemon_loop.hpp"
 #include "fixed_reply_server.hpp"
 #include "http_client.hpp"
 #include "raw_client.hpp"
+#include "service_client.hpp"
+#include "world.hpp"
 
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -123,4 +127,35 @@
               http_outcome::failed_after_send);
 }
 
+service_reply_kind kind_of_endpoint_reply(std::string const &method)
+{
+    fixed_reply_server const server(std::string(closing_head) + "2\r\n{}\r\n",
+                                    connection_ending::close);
+    world state({"daemon-1", incarnation_number(1), "zone-a", "127.0.0.1:1"},
+                1);
+    daemon_loop loop(state);
+    http_client http;
+    service_client client(http, loop);
+    service_call call;
+    call.address = server.address();
+    call.method = method;
+    call.path = "/";
+    call.body = std::make_shared<std::string const>("{}");
+    call.timeout = seconds(2);
+    client.call(call);
+    run_main_context_until([&state]
+                           { return !state.in.service_replies.empty(); });
+    return state.in.service_replies.empty()
+               ? service_reply_kind::answered
+               : state.in.service_replies.front().kind;
+}
+
+TEST(truncated_reply, an_endpoint_has_not_answered_by_it)
+{
+    EXPECT_EQ(kind_of_endpoint_reply("POST"),
+              service_reply_kind::failed_after_send);
+    EXPECT_EQ(kind_of_endpoint_reply("GET"),
+              service_reply_kind::failed_after_send);
+}
+
 } // namespace
