--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -65,14 +65,23 @@
     return may_repeat && may_continue;
 }
 
-/// @return true for a head whose body may go to the caller, who may have
-///         received a part of the stream
-bool fits_answer(proxy_request_state const &request,
-                 proxy_reply_head const &head)
+/// @return why the body of a reply must not go to the caller, who may have
+///         received a part of the stream; empty when it may
+std::string fault_of(proxy_request_state const &request,
+                     proxy_reply_head const &head)
 {
-    return !request.answering || !is_success(head.status) ||
-           (head.status == http_ok &&
-            head.is_event_stream == request.is_event_stream);
+    if (!is_success(head.status))
+    {
+        return {};
+    }
+    if (!head.is_signed)
+    {
+        return "the reply is not signed by the instance";
+    }
+    bool const fits =
+        !request.answering || (head.status == http_ok &&
+                               head.is_event_stream == request.is_event_stream);
+    return fits ? "" : "the reply does not continue the stream";
 }
 
 /// @return true when the end of the call's reply is the end of the stream
@@ -138,15 +147,18 @@
                         {"sent", sent ? "true" : "false"},
                         {"stage", prefill ? "prefill" : "run"},
                         {"reason", reason}});
-    if (!sent)
+    if (sent)
+    {
+        request->prefill_failed |= prefill;
+        // The handle may have been used, so it is not offered again; an unused
+        // KV cache expires on the engine that holds it.
+        request->retained_prefill.reset();
+    }
+    else
     {
         request->runs -= prefill ? 0 : 1;
         --request->sends;
     }
-    request->prefill_failed |= prefill && sent;
-    // The handle may have been used, so it is not offered again; an unused KV
-    // cache expires on the engine that holds it.
-    request->retained_prefill.reset();
     retry_or_fail(w, number, sent, duration(0), reason);
 }
 
@@ -195,11 +207,8 @@
         handle_call_refusal(w, attempt, *head);
         return;
     }
-    if (is_success(head->status) && !head->is_signed &&
-        attempt.stage == proxy_stage::run)
+    if (is_success(head->status) && attempt.stage == proxy_stage::prefill)
     {
-        handle_call_failure(w, attempt, true,
-                            "the reply is not signed by the instance");
         return;
     }
     auto *request = w.proxy.requests.find(attempt.request);
@@ -207,10 +216,10 @@
     {
         return;
     }
-    if (!fits_answer(*request, *head))
+    auto const fault = fault_of(*request, *head);
+    if (!fault.empty())
     {
-        handle_call_failure(w, attempt, true,
-                            "the reply does not continue the stream");
+        handle_call_failure(w, attempt, true, fault);
         return;
     }
     request->head = head;
@@ -365,6 +374,7 @@
         "the instance replied with status " + std::to_string(status);
     if (request.answering)
     {
+        request.retained_prefill.reset();
         retry_or_fail(w, request.number, true, duration(0), reason);
         return;
     }
@@ -375,6 +385,8 @@
     {
         request.head.reset();
         request.body.clear();
+        // The engine that replied has taken the KV cache.
+        request.retained_prefill.reset();
         return;
     }
     if (means_not_run(status))
@@ -480,6 +492,7 @@
     record_first_bytes(w, *attempt);
     count_call(w, "prefilled");
     ++w.proxy.metrics.prefill_handovers;
+    request->prefilled = true;
     request->retained_prefill = kept_prefill{
         attempt->instance, instance->definition.address, result.handle};
     close_attempt(w, result.attempt, call_result::succeeded);
--- a/src/proxy_lifecycle.cpp
+++ b/src/proxy_lifecycle.cpp
@@ -1,6 +1,8 @@
 #include "proxy_lifecycle.hpp"
 
+#include "available_from.hpp"
 #include "log_proxied_request.hpp"
+#include "next_available_instance.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -33,15 +35,27 @@
     w.out.proxy_answers.push_back(std::move(answer));
 }
 
-void remove_request(world &w, request_number number)
+/// @return time until an instance of the service is available; 0 when one is,
+///         or when none will be
+duration time_until_available(world const &w, std::string const &service)
 {
-    auto &waiting = w.proxy.waiting;
-    std::erase(waiting, number);
-    w.proxy.requests.erase(number);
+    auto const *next = next_available_instance(w, service);
+    return next == nullptr ? duration(0) : available_from(w, *next) - w.now;
 }
 
 } // namespace
 
+void remove_proxied_request(world &w, request_number number)
+{
+    auto const *request = w.proxy.requests.find(number);
+    if (request != nullptr && request->retry_reserved)
+    {
+        w.proxy.budgets[request->service].release();
+    }
+    std::erase(w.proxy.waiting, number);
+    w.proxy.requests.erase(number);
+}
+
 void close_attempt(world &w, attempt_number attempt, call_result result)
 {
     auto const *call = w.proxy.requests.find(attempt);
@@ -72,8 +86,16 @@
 
 void release_kept_prefill(world &w, proxy_request_state &request)
 {
-    if (auto const retained =
-            std::exchange(request.retained_prefill, std::nullopt))
+    auto const retained = std::exchange(request.retained_prefill, std::nullopt);
+    if (!retained)
+    {
+        return;
+    }
+    auto const *holder = w.proxy.instances.find(retained->instance);
+    bool const paused =
+        holder != nullptr && w.proxy.paused_until(holder->definition) > w.now;
+    // A KV cache that is not released expires at the engine.
+    if (!paused)
     {
         w.out.kv_releases.push_back({retained->address, retained->handle});
     }
@@ -119,7 +141,7 @@
                     true);
     answer(w, std::move(reply));
     ++w.proxy.metrics.requests[request->answering ? "cut" : "refused"];
-    remove_request(w, number);
+    remove_proxied_request(w, number);
 }
 
 void fail_proxied_request(world &w, request_number number,
@@ -140,7 +162,8 @@
         return;
     }
     refuse_proxied_request(w, number, result_code::no_endpoint, message,
-                           spread_retry_after(w, seconds(1)));
+                           time_until_available(w, request->service) +
+                               spread_retry_after(w, seconds(1)));
 }
 
 void finish_proxied_request(world &w, request_number number,
@@ -175,7 +198,7 @@
          {"resumes", std::to_string(request->resumes)},
          {"last_event", request->last_event}},
         late || outcome != "answered");
-    remove_request(w, number);
+    remove_proxied_request(w, number);
 }
 
 bool retry_proxied_request(world &w, proxy_request_state &request, bool extra,
@@ -191,7 +214,7 @@
     {
         return false;
     }
-    if (extra && !proxy.budgets[request.service].spend(
+    if (extra && !proxy.budgets[request.service].reserve(
                      w.now, proxy.limits.retries, proxy.effective_fleet_size()))
     {
         ++proxy.metrics.retries_denied;
@@ -201,6 +224,7 @@
         return false;
     }
     ++proxy.metrics.retries;
+    request.retry_reserved = extra;
     request.not_before = next;
     proxy.waiting.push_back(request.number);
     buffer_request_log(w, request, "request_retried",
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -156,6 +156,10 @@
     bool is_event_stream = false;
     /// The reply came from another instance than the one that was called.
     bool wrong_instance = false;
+    /// The instance announces that it leaves.
+    bool instance_leaves = false;
+    /// Time for which the instance asks for no further requests.
+    std::optional<duration> retry_after;
 };
 
 enum class proxy_event_kind
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_PROXY_TABLE_HPP
 
 #include "ids.hpp"
+#include "instance_incarnation.hpp"
 #include "outbox.hpp"
 #include "prompt_cache_view.hpp"
 #include "proxy_messages.hpp"
@@ -49,6 +50,8 @@
     int runs = 0;
     /// Number of calls that reached an instance, including refused ones.
     int sends = 0;
+    /// The next call is reserved in the retry budget.
+    bool retry_reserved = false;
     /// Time before which the request is not placed, after a failed call or
     /// because engines were at their concurrency limit.
     instant not_before{};
@@ -59,6 +62,9 @@
     /// A prefill on a separate engine or the hand-over of its KV cache has
     /// failed; the next call prefills and decodes on the same engine.
     bool prefill_failed = false;
+    /// An engine has accepted a prefill call. A further one would count against
+    /// the retry budget, as would the run that follows it.
+    bool prefilled = false;
     /// The status line and headers have been sent to the caller.
     bool answering = false;
     /// The answer has begun with the head of an event stream.
@@ -102,6 +108,8 @@
     /// The call was predicted to miss its target and was sent with the least
     /// urgent priority; predictions for other calls ignore it.
     bool background = false;
+    /// Incarnation of the instance that was called.
+    instance_incarnation incarnation;
     /// Events of the reply have been sent to the caller.
     bool forwarded_events = false;
 };
--- a/test/error/platform_codec_test.cpp
+++ b/test/error/platform_codec_test.cpp
@@ -165,6 +165,68 @@
               body_framing::chunked);
 }
 
+proxy_reply_head decoded_head(int status, header_list const &headers)
+{
+    proxy_call call;
+    call.content = std::make_shared<proxy_request const>();
+    return platform::make_codec().decode_head(call, {status, headers});
+}
+
+TEST(platform_codec, a_reply_tells_whether_its_instance_leaves)
+{
+    EXPECT_TRUE(decoded_head(200, {{"server-leaving", " 1 "}}).instance_leaves);
+    for (auto const *value : {"", "0", "2", "11", "true", "-1"})
+    {
+        EXPECT_FALSE(
+            decoded_head(200, {{"Server-Leaving", value}}).instance_leaves)
+            << value;
+    }
+    EXPECT_FALSE(decoded_head(200, {}).instance_leaves);
+    auto const head = decoded_head(200, {{"Server-Leaving", "1"}});
+    EXPECT_EQ(value_in(head.headers, "Server-Leaving"), "1");
+}
+
+// Requests carry the header only if the caller sent it.
+TEST(platform_codec, a_caller_cannot_announce_for_an_instance)
+{
+    auto const codec = platform::make_codec();
+    auto const request = codec.decode_request(
+        request_with({{"Attempt-Id", "a1"}, {"Server-Leaving", "1"}}));
+    ASSERT_TRUE(request.ok());
+    EXPECT_EQ(value_in(request->headers, "Server-Leaving"), "1");
+    proxy_call call;
+    call.content = std::make_shared<proxy_request const>(*request);
+    EXPECT_FALSE(codec.decode_head(call, {200, {}}).instance_leaves);
+}
+
+TEST(platform_codec, the_pause_that_an_instance_asks_for_is_a_plain_number)
+{
+    for (auto const &[text, expected] :
+         {std::pair{"2", duration(seconds(2))},
+          std::pair{" 0.25 ", duration(milliseconds(250))},
+          std::pair{"0", duration(0)},
+          std::pair{"007.5", duration(milliseconds(7500))},
+          std::pair{"0.00000049", duration(0)},
+          std::pair{"3600.5", duration(hours(1))},
+          std::pair{"99999999999999999999", duration(hours(1))}})
+    {
+        EXPECT_EQ(decoded_head(503, {{"Retry-After", text}}).retry_after,
+                  expected)
+            << text;
+    }
+    auto const long_number = std::string(400, '9') + ".5";
+    EXPECT_EQ(decoded_head(503, {{"Retry-After", long_number}}).retry_after,
+              duration(hours(1)));
+    for (auto const *text :
+         {"", " ", "-1", "+1", "1e400", "1e2", "nan", "inf", "0x10", "1,5",
+          "1.", ".", ".5", "1.2.3", "2 s", "Sat, 05 Dec 2026 03:00:00 GMT"})
+    {
+        EXPECT_FALSE(decoded_head(503, {{"Retry-After", text}}).retry_after)
+            << text;
+    }
+    EXPECT_FALSE(decoded_head(503, {}).retry_after);
+}
+
 TEST(platform_codec, entries_of_another_writer_name_no_instance)
 {
     ASSERT_TRUE(platform::decode_instance("i", entry));
