--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -1,5 +1,6 @@
 #include "advance_proxied_requests.hpp"
 
+#include "event_number.hpp"
 #include "extract_new_events.hpp"
 #include "log_proxied_request.hpp"
 #include "predict_event_gap.hpp"
@@ -52,6 +53,51 @@
            is_success(request.head->status);
 }
 
+/// @return true when a request that has reached an instance may be sent to a
+///         further one
+bool may_send_again(proxy_request_state const &request)
+{
+    bool const may_repeat = request.runs == 0 || request.route->can_retry();
+    // A stream whose place is not known cannot be continued.
+    bool const may_continue =
+        !request.answering ||
+        (request.route->resumable && event_number(request.last_event));
+    return may_repeat && may_continue;
+}
+
+/// @return why the body of a reply must not go to the caller, who may have
+///         received a part of the stream; empty when it may
+std::string fault_of(proxy_request_state const &request,
+                     proxy_reply_head const &head)
+{
+    if (!is_success(head.status))
+    {
+        return {};
+    }
+    if (!head.is_signed)
+    {
+        return "the reply is not signed by the instance";
+    }
+    bool const fits =
+        !request.answering || (head.status == http_ok &&
+                               head.is_event_stream == request.is_event_stream);
+    return fits ? "" : "the reply does not continue the stream";
+}
+
+/// @return true when the end of the call's reply is the end of the stream
+bool completes_stream(proxy_request_state const &request,
+                      proxy_attempt const &attempt)
+{
+    if (attempt.forwarded_events || !request.head->is_event_stream)
+    {
+        return true;
+    }
+    // No event may be left after the last one. The end of a connection does not
+    // state that, because it may as well be a failure.
+    return !request.last_event.empty() &&
+           request.head->framing != body_framing::connection;
+}
+
 void count_call(world &w, std::string const &result)
 {
     ++w.proxy.metrics.calls[result];
@@ -73,9 +119,7 @@
     request->head.reset();
     request->body.clear();
     request->partial_event.clear();
-    bool const may_repeat = request->runs == 0 || request->route->can_retry();
-    bool const may_resume = !request->answering || request->route->resumable;
-    if (may_repeat && may_resume &&
+    if (may_send_again(*request) &&
         retry_proxied_request(w, *request, arrived, pause, reason))
     {
         request->resumes += request->answering ? 1 : 0;
@@ -163,21 +207,22 @@
         handle_call_refusal(w, attempt, *head);
         return;
     }
-    if (is_success(head->status) && !head->is_signed &&
-        attempt.stage == proxy_stage::run)
+    if (is_success(head->status) && attempt.stage == proxy_stage::prefill)
     {
-        handle_call_failure(w, attempt, true,
-                            "the reply is not signed by the instance");
         return;
     }
-    if (is_success(head->status) && attempt.stage == proxy_stage::prefill)
+    auto *request = w.proxy.requests.find(attempt.request);
+    if (request == nullptr)
     {
         return;
     }
-    if (auto *request = w.proxy.requests.find(attempt.request))
+    auto const fault = fault_of(*request, *head);
+    if (!fault.empty())
     {
-        request->head = head;
+        handle_call_failure(w, attempt, true, fault);
+        return;
     }
+    request->head = head;
 }
 
 /// Updates the predictions for the instance from the first bytes of a reply.
@@ -216,6 +261,7 @@
         return;
     }
     request.first_event_at = w.now;
+    request.is_event_stream = request.head->is_event_stream;
     proxy_answer answer;
     answer.request = request.number;
     answer.kind = proxy_answer_kind::begin;
@@ -241,21 +287,26 @@
     }
 }
 
-void forward_events(world &w, proxy_attempt const &attempt,
+/// Forwards the complete events of the reply.
+///
+/// @return false when the reply does not continue the stream
+bool forward_events(world &w, proxy_attempt &attempt,
                     proxy_request_state &request)
 {
-    auto events = extract_new_events(request.partial_event, request.last_event);
-    if (events.empty())
-    {
-        return;
-    }
-    begin_answer(w, request);
-    record_event_time(w, attempt, request);
-    proxy_answer answer;
-    answer.request = request.number;
-    answer.kind = proxy_answer_kind::body_chunk;
-    answer.bytes = std::move(events);
-    w.out.proxy_answers.push_back(std::move(answer));
+    auto events = extract_new_events(request.partial_event, request.last_event,
+                                     request.resumes > 0);
+    if (!events.text.empty())
+    {
+        attempt.forwarded_events = true;
+        begin_answer(w, request);
+        record_event_time(w, attempt, request);
+        proxy_answer answer;
+        answer.request = request.number;
+        answer.kind = proxy_answer_kind::body_chunk;
+        answer.bytes = std::move(events.text);
+        w.out.proxy_answers.push_back(std::move(answer));
+    }
+    return !events.unnumbered;
 }
 
 void handle_reply_bytes(world &w, proxy_attempt &attempt,
@@ -270,7 +321,12 @@
     if (is_stream(*request))
     {
         request->partial_event += bytes;
-        forward_events(w, attempt, *request);
+        if (!forward_events(w, attempt, *request))
+        {
+            handle_call_failure(w, attempt, true,
+                                "the reply does not continue the stream");
+            return;
+        }
     }
     else
     {
@@ -314,11 +370,17 @@
 void handle_error_reply(world &w, proxy_request_state &request)
 {
     auto const status = request.head->status;
+    auto const reason =
+        "the instance replied with status " + std::to_string(status);
+    if (request.answering)
+    {
+        request.retained_prefill.reset();
+        retry_or_fail(w, request.number, true, duration(0), reason);
+        return;
+    }
     bool const again =
         status >= first_server_error && request.route->can_retry() &&
-        retry_proxied_request(w, request, true, duration(0),
-                              "the instance replied with status " +
-                                  std::to_string(status));
+        retry_proxied_request(w, request, true, duration(0), reason);
     if (again)
     {
         request.head.reset();
@@ -327,11 +389,9 @@
         request.retained_prefill.reset();
         return;
     }
-    if (request.answering || means_not_run(status))
+    if (means_not_run(status))
     {
-        fail_proxied_request(w, request.number,
-                             "the instance replied with status " +
-                                 std::to_string(status));
+        fail_proxied_request(w, request.number, reason);
         return;
     }
     forward_complete_answer(w, request);
@@ -352,6 +412,12 @@
                             "the stream ended in the middle of an event");
         return;
     }
+    if (is_stream(*request) && !completes_stream(*request, attempt))
+    {
+        handle_call_failure(w, attempt, true,
+                            "the stream ended without an event");
+        return;
+    }
     record_first_bytes(w, attempt);
     bool const success = is_success(request->head->status);
     count_call(w, success ? "answered" : "error");
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -67,6 +67,8 @@
     bool prefilled = false;
     /// The status line and headers have been sent to the caller.
     bool answering = false;
+    /// The answer has begun with the head of an event stream.
+    bool is_event_stream = false;
     /// Number of calls that continued the stream of an earlier one.
     int resumes = 0;
     /// Id of the last event that was sent to the caller.
@@ -108,6 +110,8 @@
     bool background = false;
     /// Incarnation of the instance that was called.
     instance_incarnation incarnation;
+    /// Events of the reply have been sent to the caller.
+    bool forwarded_events = false;
 };
 
 /// Open requests and their calls.
