Take a reply that has no body for complete

The reply to a HEAD request and a 304 may declare the length of a body that is not sent. Such a reply counted as truncated, so that the call failed and was repeated or answered with 502.

A reply to HEAD, a 204 and a 304 are now complete with their head.

truncated_reply.a_reply_that_has_no_body_is_complete_without_it failed before: "Which is: 4-byte object <02-00 00-00>" (failed_after_send) where answered was expected, for HEAD and for 304.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -65,6 +65,15 @@
     return message;
 }
 
+/// @return true for a reply whose headers describe a body that is not sent
+bool has_no_body(SoupMessage *message)
+{
+    auto const status = soup_message_get_status(message);
+    return std::string_view(soup_message_get_method(message)) == "HEAD" ||
+           status == SOUP_STATUS_NO_CONTENT ||
+           status == SOUP_STATUS_NOT_MODIFIED;
+}
+
 } // namespace
 
 struct http_call::callbacks
@@ -275,6 +284,10 @@
 
 bool http_call::is_complete()
 {
+    if (has_no_body(message_.get()))
+    {
+        return true;
+    }
     // libsoup also reports a normal end of the body when the connection closes
     // within a body of known length or between two chunks.
     auto *headers = soup_message_get_response_headers(message_.get());
--- a/test/error/truncated_reply_test.cpp
+++ b/test/error/truncated_reply_test.cpp
@@ -18,13 +18,15 @@
 
 using namespace agateledge;
 
-http_outcome outcome_of(std::string const &reply, connection_ending ending)
+http_outcome outcome_of(std::string const &reply, connection_ending ending,
+                        std::string const &method = "GET")
 {
     fixed_reply_server const server(reply, ending);
     http_client client;
     std::optional<http_reply> got;
     http_request request;
     request.address = server.address();
+    request.method = method;
     request.path = "/";
     request.total_timeout = seconds(2);
     request.new_connection = true;
@@ -118,6 +120,17 @@
               http_outcome::failed_after_send);
 }
 
+TEST(truncated_reply, a_reply_that_has_no_body_is_complete_without_it)
+{
+    std::string const length = "Content-Length: 8\r\n\r\n";
+    EXPECT_EQ(outcome_of("HTTP/1.1 200 OK\r\n" + length,
+                         connection_ending::close, "HEAD"),
+              http_outcome::answered);
+    EXPECT_EQ(outcome_of("HTTP/1.1 304 Not Modified\r\n" + length,
+                         connection_ending::close),
+              http_outcome::answered);
+}
+
 TEST(truncated_reply, a_body_without_a_length_ends_by_a_close_only)
 {
     std::string const reply = "HTTP/1.1 200 OK\r\n\r\nabcd";
