List that libsoup ends a chunked body at a line that is no chunk size

libsoup reads the size 0 from such a line, which is the size of the last chunk. A chunked stream that breaks off and is followed by bytes that are no answer is then forwarded as complete. libsoup does not show the line, and bytes may also follow a complete reply, so that the call cannot tell the two.

--- a/test/error/truncated_reply_test.cpp
+++ b/test/error/truncated_reply_test.cpp
@@ -131,6 +131,19 @@
               http_outcome::answered);
 }
 
+TEST(truncated_reply, a_line_that_is_no_chunk_size_does_not_end_a_body)
+{
+    for (std::string const line :
+         {"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n",
+          "xyz not a chunk\r\nmore\r\n"})
+    {
+        auto const reply = std::string(chunked_head) + "4\r\nabcd\r\n" + line;
+        EXPECT_EQ(outcome_of(reply, connection_ending::close),
+                  http_outcome::failed_after_send)
+            << line;
+    }
+}
+
 TEST(truncated_reply, a_body_without_a_length_ends_by_a_close_only)
 {
     std::string const reply = "HTTP/1.1 200 OK\r\n\r\nabcd";
