--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -111,11 +111,16 @@
     w.out.proxy_calls.push_back(
         make_call(w, request, instance, choice, attempt, background));
     record_placement(w, request, instance, choice);
-    proxy.requests.add({attempt, request.number, choice.instance, choice.stage,
-                        w.now, choice.prediction.time,
-                        choice.prediction.unread_tokens,
-                        instance.open_calls.size(), false, background,
-                        incarnation_of(instance.definition)});
+    proxy.requests.add({.attempt = attempt,
+                        .request = request.number,
+                        .instance = choice.instance,
+                        .stage = choice.stage,
+                        .sent_at = w.now,
+                        .predicted = choice.prediction.time,
+                        .unread_tokens = choice.prediction.unread_tokens,
+                        .calls_before = instance.open_calls.size(),
+                        .background = background,
+                        .incarnation = incarnation_of(instance.definition)});
     instance.open_calls.insert(attempt);
     instance.add_unread_tokens(choice.prediction.unread_tokens, background);
     instance.cache.record_prompt(request.chain, w.now);
