Count a chunked reply on an unknown connection as truncated

A call with a connection of its own whose socket was not seen took every chunked reply for complete. No such call is known; the check now fails on the safe side.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -167,7 +167,8 @@
                      G_CALLBACK(callbacks::connected), this);
     g_signal_connect(message_.get(), "restarted",
                      G_CALLBACK(callbacks::connected), this);
-    if (request.new_connection)
+    has_own_connection_ = request.new_connection;
+    if (has_own_connection_)
     {
         g_signal_connect(message_.get(), "network-event",
                          G_CALLBACK(callbacks::network_event), this);
@@ -296,7 +297,7 @@
     case SOUP_ENCODING_CONTENT_LENGTH:
         return body_bytes_ == soup_message_headers_get_content_length(headers);
     case SOUP_ENCODING_CHUNKED:
-        return !socket_ || has_last_chunk();
+        return !has_own_connection_ || (socket_ && has_last_chunk());
     default:
         return true;
     }
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -122,6 +122,7 @@
     goffset body_bytes_ = 0;
     std::array<char, read_buffer_bytes> buffer_{};
     unsigned timer_ = 0;
+    bool has_own_connection_ = false;
     bool connected_ = false;
     bool has_total_timeout_ = false;
     bool paused_ = false;
