--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -65,6 +65,15 @@
     return message;
 }
 
+/// @return true for a reply whose headers describe a body that is not sent
+bool has_no_body(SoupMessage *message)
+{
+    auto const status = soup_message_get_status(message);
+    return std::string_view(soup_message_get_method(message)) == "HEAD" ||
+           status == SOUP_STATUS_NO_CONTENT ||
+           status == SOUP_STATUS_NOT_MODIFIED;
+}
+
 } // namespace
 
 struct http_call::callbacks
@@ -158,7 +167,8 @@
                      G_CALLBACK(callbacks::connected), this);
     g_signal_connect(message_.get(), "restarted",
                      G_CALLBACK(callbacks::connected), this);
-    if (request.new_connection)
+    has_own_connection_ = request.new_connection;
+    if (has_own_connection_)
     {
         g_signal_connect(message_.get(), "network-event",
                          G_CALLBACK(callbacks::network_event), this);
@@ -275,6 +285,10 @@
 
 bool http_call::is_complete()
 {
+    if (has_no_body(message_.get()))
+    {
+        return true;
+    }
     // libsoup also reports a normal end of the body when the connection closes
     // within a body of known length or between two chunks.
     auto *headers = soup_message_get_response_headers(message_.get());
@@ -283,7 +297,7 @@
     case SOUP_ENCODING_CONTENT_LENGTH:
         return body_bytes_ == soup_message_headers_get_content_length(headers);
     case SOUP_ENCODING_CHUNKED:
-        return !socket_ || has_last_chunk();
+        return !has_own_connection_ || (socket_ && has_last_chunk());
     default:
         return true;
     }
