Separate which daemons report to which from the load reports

Another kind of report is to take the same ways between the daemons: all to all in a small fleet, through a hub of each data centre in a larger one. No change of behaviour; the tests of proxy_load cover it.

--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -1,7 +1,7 @@
 #include "exchange_loads.hpp"
 
+#include "exchange_topology.hpp"
 #include "fleet_interval.hpp"
-#include "rendezvous_rank.hpp"
 #include "world.hpp"
 
 #include <xxhash.h>
@@ -21,9 +21,6 @@
 namespace
 {
 
-/// Largest fleet in which each daemon reports directly to all others.
-constexpr std::size_t max_mesh_daemons = 9;
-
 /// Interval of the reports; grows with the fleet between these limits, which
 /// bound the reports of all daemons to 400 a second. In an interval, daemons
 /// send prompts to the same engine without knowing of each other, so it must be
@@ -39,8 +36,6 @@
 /// cost of a sum grows with the fleet, as the interval does.
 constexpr int max_sums_per_interval = 3;
 
-constexpr char const *hub_hash_key = "load_hub";
-
 using loads_by_engine = std::map<std::uint64_t, engine_load>;
 
 duration report_interval(world const &w)
@@ -50,57 +45,6 @@
                           max_report_interval);
 }
 
-bool is_mesh(world const &w)
-{
-    return w.proxy.daemons.size() <= max_mesh_daemons;
-}
-
-/// @return name of the daemon that is the hub of a data centre; empty when no
-///         daemon is known there
-std::string hub_of(world const &w, std::string const &data_centre)
-{
-    std::string hub;
-    std::uint64_t highest = 0;
-    auto const consider = [&](std::string const &name)
-    {
-        auto const weight = rendezvous_weight(hub_hash_key, name);
-        if (hub.empty() || weight > highest)
-        {
-            hub = name;
-            highest = weight;
-        }
-    };
-    for (auto const &[name, peer] : w.proxy.daemons)
-    {
-        if (peer.data_centre == data_centre)
-        {
-            consider(name);
-        }
-    }
-    if (data_centre == w.identity.data_centre)
-    {
-        consider(w.identity.name);
-    }
-    return hub;
-}
-
-std::vector<std::string> remote_hubs(world const &w)
-{
-    std::set<std::string> data_centres;
-    for (auto const &[name, peer] : w.proxy.daemons)
-    {
-        if (peer.data_centre != w.identity.data_centre)
-        {
-            data_centres.insert(peer.data_centre);
-        }
-    }
-    std::vector<std::string> out;
-    std::ranges::transform(data_centres, std::back_inserter(out),
-                           [&w](std::string const &data_centre)
-                           { return hub_of(w, data_centre); });
-    return out;
-}
-
 std::vector<engine_load> local_loads(world const &w)
 {
     std::vector<engine_load> out;
@@ -262,14 +206,7 @@
                  std::vector<engine_load> loads)
 {
     peer_load_send out;
-    for (auto const &name : names)
-    {
-        auto const peer = w.proxy.daemons.find(name);
-        if (peer != w.proxy.daemons.end() && !peer->second.address.empty())
-        {
-            out.to.push_back(peer->second.address);
-        }
-    }
+    out.to = addresses_of(w, names);
     if (out.to.empty())
     {
         return;
@@ -285,21 +222,6 @@
     w.out.peer_load_reports.push_back(std::move(out));
 }
 
-/// @return names of the other daemons that satisfy `predicate`
-template <class Predicate>
-std::vector<std::string> peers_where(world const &w, Predicate predicate)
-{
-    std::vector<std::string> out;
-    for (auto const &[name, peer] : w.proxy.daemons)
-    {
-        if (name != w.identity.name && predicate(peer))
-        {
-            out.push_back(name);
-        }
-    }
-    return out;
-}
-
 void report_as_hub(world &w, std::vector<engine_load> const &local)
 {
     auto centre_loads = sum_of_reports(w, load_scope::daemon);
@@ -308,11 +230,7 @@
                 to_list(centre_loads));
     auto fleet_loads = centre_loads;
     add(fleet_loads, to_list(sum_of_reports(w, load_scope::data_centre)));
-    send_report(
-        w, load_scope::fleet,
-        peers_where(w, [&w](daemon_peer const &peer)
-                    { return peer.data_centre == w.identity.data_centre; }),
-        to_list(fleet_loads));
+    send_report(w, load_scope::fleet, local_peers(w), to_list(fleet_loads));
 }
 
 void send_due_report(world &w)
@@ -328,9 +246,7 @@
     load.last_sent = local_loads(w);
     if (is_mesh(w))
     {
-        send_report(w, load_scope::daemon,
-                    peers_where(w, [](daemon_peer const &) { return true; }),
-                    load.last_sent);
+        send_report(w, load_scope::daemon, all_peers(w), load.last_sent);
         return;
     }
     auto const hub = hub_of(w, w.identity.data_centre);
