Log which calls and prompt parts were open on a lost engine

The log told that a call failed after its send, not whether its engine had ended, which prompt parts it had, nor how far its answer had come, so that crashes caused by a prompt could not be told from cuts. A call that fails with its connection before more than one event has come is watched for 300 ms: engine_lost when nothing more is heard of that start of the engine, connection_lost otherwise; both name the request, its parts and the progress of its answer. connection_failures_total counts them. No change of what is sent.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -5,6 +5,7 @@
 #include "predict_event_gap.hpp"
 #include "predict_first_event.hpp"
 #include "proxy_lifecycle.hpp"
+#include "track_engine_losses.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -145,6 +146,17 @@
                       std::to_string(head.status));
 }
 
+/// Handles a call that ended with its connection before its reply was complete.
+void handle_connection_failure(world &w, proxy_attempt const &attempt,
+                               std::string const &reason)
+{
+    if (auto const *request = w.proxy.requests.find(attempt.request))
+    {
+        record_connection_failure(w, attempt, *request);
+    }
+    handle_call_failure(w, attempt, true, reason);
+}
+
 void handle_reply_head(world &w, proxy_attempt const &attempt,
                        std::shared_ptr<proxy_reply_head const> const &head)
 {
@@ -233,7 +245,7 @@
     }
 }
 
-void forward_events(world &w, proxy_attempt const &attempt,
+void forward_events(world &w, proxy_attempt &attempt,
                     proxy_request_state &request)
 {
     auto events = extract_new_events(request.partial_event, request.last_event);
@@ -243,6 +255,7 @@
     }
     begin_answer(w, request);
     record_event_time(w, attempt, request);
+    ++attempt.events;
     proxy_answer answer;
     answer.request = request.number;
     answer.kind = proxy_answer_kind::body_chunk;
@@ -332,14 +345,14 @@
     auto *request = w.proxy.requests.find(attempt.request);
     if (request == nullptr || !request->head)
     {
-        handle_call_failure(w, attempt, true,
-                            "the reply ended before its head");
+        handle_connection_failure(w, attempt,
+                                  "the reply ended before its head");
         return;
     }
     if (is_stream(*request) && !request->partial_event.empty())
     {
-        handle_call_failure(w, attempt, true,
-                            "the stream ended in the middle of an event");
+        handle_connection_failure(w, attempt,
+                                  "the stream ended in the middle of an event");
         return;
     }
     record_first_bytes(w, attempt);
@@ -362,6 +375,19 @@
     forward_complete_answer(w, *request);
 }
 
+void record_activity(world &w, proxy_attempt const &attempt,
+                     proxy_event_kind kind)
+{
+    bool const received = kind == proxy_event_kind::head ||
+                          kind == proxy_event_kind::bytes ||
+                          kind == proxy_event_kind::finished;
+    auto *instance = w.proxy.instances.find(attempt.instance);
+    if (received && instance != nullptr)
+    {
+        instance->heard_at = w.now;
+    }
+}
+
 void handle_event(world &w, proxy_event const &event)
 {
     auto *attempt = w.proxy.requests.find(event.attempt);
@@ -369,6 +395,7 @@
     {
         return;
     }
+    record_activity(w, *attempt, event.kind);
     switch (event.kind)
     {
     case proxy_event_kind::head:
@@ -385,8 +412,8 @@
                             "could not connect to the instance");
         return;
     case proxy_event_kind::failed_after_send:
-        handle_call_failure(
-            w, *attempt, true,
+        handle_connection_failure(
+            w, *attempt,
             "the connection failed after the request may have been sent");
         return;
     }
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -72,6 +72,8 @@
     /// Set when another instance replied from this address; reset when the row
     /// changes.
     bool address_reused = false;
+    /// Time of the last bytes that it sent on a call of this daemon.
+    instant heard_at{};
     instance_health health;
     /// Calls of this daemon that are open.
     std::unordered_set<attempt_number> open_calls;
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -30,6 +30,8 @@
     counter_map store_calls;
     /// Load reports from other daemons by result.
     counter_map load_reports;
+    /// Connections that failed as an engine began to answer, by cause.
+    counter_map connection_failures;
     std::uint64_t retries = 0;
     std::uint64_t retries_denied = 0;
     std::uint64_t resumed_streams = 0;
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -5,6 +5,7 @@
 #include "ids.hpp"
 #include "instance_table.hpp"
 #include "load_exchange_state.hpp"
+#include "part_evidence_state.hpp"
 #include "proxy_limits.hpp"
 #include "proxy_metrics.hpp"
 #include "proxy_table.hpp"
@@ -97,6 +98,7 @@
     /// Daemons by name, including this one once its row has been read.
     std::map<std::string, daemon_peer> daemons;
     load_exchange_state load;
+    part_evidence_state part_evidence;
     /// Address at which this daemon receives reports of others.
     std::string peer_address;
     instant next_daemon_row{};
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -98,6 +98,8 @@
     /// The call was predicted to miss its target and was sent with the least
     /// urgent priority; predictions for other calls ignore it.
     bool background = false;
+    /// Number of times that complete events of a stream arrived.
+    int events = 0;
 };
 
 /// Open requests and their calls.
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -9,6 +9,7 @@
 #include "poll_caches.hpp"
 #include "poll_store.hpp"
 #include "stop_proxy.hpp"
+#include "track_engine_losses.hpp"
 #include "update_directory.hpp"
 
 namespace agateledge
@@ -20,6 +21,7 @@
     update_directory(w);
     exchange_loads(w);
     advance_proxied_requests(w);
+    track_engine_losses(w);
     eject_instances(w);
     poll_caches(w);
     admit_proxied_requests(w);
--- /dev/null
+++ b/src/track_engine_losses.cpp
@@ -0,0 +1,115 @@
+#include "track_engine_losses.hpp"
+
+#include "log_proxied_request.hpp"
+#include "prompt_parts.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace agateledge
+{
+
+namespace
+{
+
+/// Time in which an engine that is still running is heard of on another call.
+constexpr duration confirmation_time = milliseconds(300);
+
+/// Time after a crash in which bytes that the engine had sent before still
+/// arrive on other connections.
+constexpr duration late_bytes_time = milliseconds(50);
+
+/// Events after which an engine does not crash because it begins to answer.
+constexpr int max_events_before_crash = 1;
+
+/// Engines whose connections fail within `joint_failure_time` of each other,
+/// from which on the failures have a common cause, such as the network.
+constexpr std::size_t min_joint_failures = 3;
+constexpr duration joint_failure_time = milliseconds(20);
+
+/// Marks the failures near the last one if they hit too many engines at once to
+/// be crashes of single engines.
+void mark_joint_failures(std::vector<pending_engine_loss> &pending)
+{
+    auto const since = pending.back().at - joint_failure_time;
+    auto const first =
+        std::ranges::find_if(pending, [since](pending_engine_loss const &loss)
+                             { return loss.at >= since; });
+    std::set<std::uint64_t> engines;
+    std::transform(first, pending.end(), std::inserter(engines, engines.end()),
+                   [](pending_engine_loss const &loss) { return loss.engine; });
+    if (engines.size() >= min_joint_failures)
+    {
+        std::for_each(first, pending.end(),
+                      [](pending_engine_loss &loss) { loss.joint = true; });
+    }
+}
+
+bool was_heard_since(world const &w, pending_engine_loss const &loss)
+{
+    auto const *instance = w.proxy.instances.find(loss.instance);
+    return instance != nullptr && instance->load_key == loss.engine &&
+           instance->heard_at > loss.at + late_bytes_time;
+}
+
+void record_loss(world &w, pending_engine_loss const &loss, bool lost)
+{
+    ++w.proxy.metrics.connection_failures[lost         ? "engine_lost"
+                                          : loss.joint ? "several_engines"
+                                                       : "engine_running"];
+    log_proxied_request(w, lost ? log_level::warning : log_level::info,
+                        lost ? "engine_lost" : "connection_lost",
+                        {{"instance", loss.instance},
+                         {"request", loss.request},
+                         {"parts", part_ids_text(loss.parts)},
+                         {"head", loss.had_head ? "true" : "false"},
+                         {"events", std::to_string(loss.events)}});
+}
+
+} // namespace
+
+void record_connection_failure(world &w, proxy_attempt const &attempt,
+                               proxy_request_state const &request)
+{
+    auto const *instance = w.proxy.instances.find(attempt.instance);
+    auto parts = shared_parts_of(*request.content);
+    if (instance == nullptr || parts.empty() ||
+        attempt.stage == proxy_stage::prefill ||
+        attempt.events > max_events_before_crash)
+    {
+        return;
+    }
+    auto &pending = w.proxy.part_evidence.pending;
+    pending.push_back({.instance = attempt.instance,
+                       .engine = instance->load_key,
+                       .request = request.content->caller_attempt,
+                       .prompt = prompt_key_of(*request.content),
+                       .parts = std::move(parts),
+                       .had_head = request.head != nullptr,
+                       .events = attempt.events,
+                       .at = w.now});
+    mark_joint_failures(pending);
+    wake_at(w, w.now + confirmation_time);
+}
+
+void track_engine_losses(world &w)
+{
+    auto &pending = w.proxy.part_evidence.pending;
+    auto const due =
+        std::ranges::find_if(pending, [&w](pending_engine_loss const &loss)
+                             { return loss.at + confirmation_time > w.now; });
+    std::for_each(
+        pending.begin(), due,
+        [&w](pending_engine_loss const &loss)
+        { record_loss(w, loss, !loss.joint && !was_heard_since(w, loss)); });
+    pending.erase(pending.begin(), due);
+    if (!pending.empty())
+    {
+        wake_at(w, pending.front().at + confirmation_time);
+    }
+}
+
+} // namespace agateledge
