--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -6,6 +6,7 @@
 #include "predict_event_gap.hpp"
 #include "predict_first_event.hpp"
 #include "proxy_lifecycle.hpp"
+#include "track_engine_losses.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -88,7 +89,7 @@
 bool completes_stream(proxy_request_state const &request,
                       proxy_attempt const &attempt)
 {
-    if (attempt.forwarded_events || !request.head->is_event_stream)
+    if (attempt.events > 0 || !request.head->is_event_stream)
     {
         return true;
     }
@@ -129,8 +130,9 @@
     fail_proxied_request(w, number, reason);
 }
 
+/// @param pause back-off before the next call
 void handle_call_failure(world &w, proxy_attempt const &attempt, bool sent,
-                         std::string const &reason)
+                         std::string const &reason, duration pause = {})
 {
     auto const number = attempt.request;
     auto const instance = attempt.instance;
@@ -159,7 +161,7 @@
         request->runs -= prefill ? 0 : 1;
         --request->sends;
     }
-    retry_or_fail(w, number, sent, duration(0), reason);
+    retry_or_fail(w, number, sent, pause, reason);
 }
 
 void handle_call_refusal(world &w, proxy_attempt const &attempt,
@@ -193,6 +195,18 @@
                       std::to_string(head.status));
 }
 
+/// Handles a call that ended with its connection before its reply was complete.
+void handle_connection_failure(world &w, proxy_attempt const &attempt,
+                               std::string const &reason)
+{
+    duration pause{};
+    if (auto const *request = w.proxy.requests.find(attempt.request))
+    {
+        pause = record_connection_failure(w, attempt, *request);
+    }
+    handle_call_failure(w, attempt, true, reason, pause);
+}
+
 void handle_reply_head(world &w, proxy_attempt const &attempt,
                        std::shared_ptr<proxy_reply_head const> const &head)
 {
@@ -297,9 +311,12 @@
                                      request.resumes > 0);
     if (!events.text.empty())
     {
-        attempt.forwarded_events = true;
         begin_answer(w, request);
         record_event_time(w, attempt, request);
+        if (++attempt.events == min_events_of_sound_answer)
+        {
+            record_sound_answer(w, request);
+        }
         proxy_answer answer;
         answer.request = request.number;
         answer.kind = proxy_answer_kind::body_chunk;
@@ -402,20 +419,20 @@
     auto *request = w.proxy.requests.find(attempt.request);
     if (request == nullptr || !request->head)
     {
-        handle_call_failure(w, attempt, true,
-                            "the reply ended before its head");
+        handle_connection_failure(w, attempt,
+                                  "the reply ended before its head");
         return;
     }
     if (is_stream(*request) && !request->partial_event.empty())
     {
-        handle_call_failure(w, attempt, true,
-                            "the stream ended in the middle of an event");
+        handle_connection_failure(w, attempt,
+                                  "the stream ended in the middle of an event");
         return;
     }
     if (is_stream(*request) && !completes_stream(*request, attempt))
     {
-        handle_call_failure(w, attempt, true,
-                            "the stream ended without an event");
+        handle_connection_failure(w, attempt,
+                                  "the stream ended without an event");
         return;
     }
     record_first_bytes(w, attempt);
@@ -432,12 +449,28 @@
     }
     if (is_stream(*request))
     {
+        // Its end proves nothing: a stream without length and chunks also ends
+        // when its engine crashes.
         end_stream(w, *request);
         return;
     }
+    record_sound_answer(w, *request);
     forward_complete_answer(w, *request);
 }
 
+void record_activity(world &w, proxy_attempt const &attempt,
+                     proxy_event_kind kind)
+{
+    bool const received = kind == proxy_event_kind::head ||
+                          kind == proxy_event_kind::bytes ||
+                          kind == proxy_event_kind::finished;
+    auto *instance = w.proxy.instances.find(attempt.instance);
+    if (received && instance != nullptr)
+    {
+        instance->heard_at = w.now;
+    }
+}
+
 void handle_event(world &w, proxy_event const &event)
 {
     auto *attempt = w.proxy.requests.find(event.attempt);
@@ -445,6 +478,7 @@
     {
         return;
     }
+    record_activity(w, *attempt, event.kind);
     switch (event.kind)
     {
     case proxy_event_kind::head:
@@ -461,14 +495,14 @@
                             "could not connect to the instance");
         return;
     case proxy_event_kind::failed_after_send:
-        handle_call_failure(
-            w, *attempt, true,
+        handle_connection_failure(
+            w, *attempt,
             "the connection failed after the request may have been sent");
         return;
     case proxy_event_kind::truncated:
         ++w.proxy.metrics.truncated_replies;
-        handle_call_failure(
-            w, *attempt, true,
+        handle_connection_failure(
+            w, *attempt,
             "the connection was closed before the end of the reply");
         return;
     }
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -2,6 +2,7 @@
 
 #include "available_from.hpp"
 #include "choose_instance.hpp"
+#include "hold_suspected_prompts.hpp"
 #include "log_proxied_request.hpp"
 #include "next_available_instance.hpp"
 #include "proxy_lifecycle.hpp"
@@ -241,6 +242,10 @@
 /// Sends, refuses or queues the request.
 void place(world &w, request_number number, queued_tokens &queued)
 {
+    if (hold_if_suspected(w, number))
+    {
+        return;
+    }
     auto &request = *w.proxy.requests.find(number);
     auto const choice = choose_instance(w, request);
     if (!choice)
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -34,6 +34,12 @@
     std::uint64_t leave_announcements = 0;
     /// Pauses that instances asked for.
     std::uint64_t instance_pauses = 0;
+    /// Reports of other daemons on prompts that crash engines, by result.
+    counter_map part_evidence_reports;
+    /// Connections that failed as an engine began to answer, by cause.
+    counter_map connection_failures;
+    /// Requests that were not sent on because of a part of their prompt.
+    std::uint64_t held_prompts = 0;
     std::uint64_t retries = 0;
     std::uint64_t retries_denied = 0;
     std::uint64_t truncated_replies = 0;
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -110,8 +110,9 @@
     bool background = false;
     /// Incarnation of the instance that was called.
     instance_incarnation incarnation;
-    /// Events of the reply have been sent to the caller.
-    bool forwarded_events = false;
+    /// Number of times that complete events of a stream arrived and were sent
+    /// to the caller.
+    int events = 0;
 };
 
 /// Open requests and their calls.
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -4,13 +4,16 @@
 #include "advance_proxied_requests.hpp"
 #include "eject_instances.hpp"
 #include "exchange_loads.hpp"
+#include "exchange_part_evidence.hpp"
 #include "expire_proxied_requests.hpp"
+#include "hold_suspected_prompts.hpp"
 #include "place_proxied_requests.hpp"
 #include "poll_caches.hpp"
 #include "poll_store.hpp"
 #include "record_instance_pauses.hpp"
 #include "record_leaving_instances.hpp"
 #include "stop_proxy.hpp"
+#include "track_engine_losses.hpp"
 #include "update_directory.hpp"
 
 namespace agateledge
@@ -24,6 +27,9 @@
     record_leaving_instances(w);
     record_instance_pauses(w);
     advance_proxied_requests(w);
+    track_engine_losses(w);
+    exchange_part_evidence(w);
+    hold_suspected_prompts(w);
     eject_instances(w);
     poll_caches(w);
     admit_proxied_requests(w);
