--- a/test/correctness/proxy_retry_test.cpp
+++ b/test/correctness/proxy_retry_test.cpp
@@ -209,7 +209,7 @@
     auto const prefill = only_call(step(daemon));
     EXPECT_EQ(prefill.stage, proxy_stage::prefill);
     daemon.state.in.prefill_results.push_back({prefill.attempt, "handle"});
-    auto const run = only_call(step(daemon));
+    auto run = only_call(step(daemon));
     EXPECT_EQ(run.stage, proxy_stage::run);
     EXPECT_EQ(run.kv_handle, "handle");
     return run;
@@ -301,10 +301,10 @@
     daemon.list_engines(6, engine_role::prefill);
     daemon.list_engines(6, engine_role::decode);
     std::map<request_number, counted_calls> counted;
-    constexpr int requests = 400;
-    for (int i = 0; i < requests; ++i)
+    constexpr std::uint64_t requests = 400;
+    for (std::uint64_t part = 1; part <= requests; ++part)
     {
-        daemon.send("/chat/1", static_cast<std::uint64_t>(7 + i), 9000);
+        daemon.send("/chat/1", part, 9000);
         for (auto const &call : step(daemon).proxy_calls)
         {
             answer_call(daemon, call, counted[call.request]);
