--- a/harness/proxy_fixture.hpp
+++ b/harness/proxy_fixture.hpp
@@ -66,8 +66,10 @@
     request_number send_prompt(std::string const &path,
                                std::vector<std::uint64_t> const &parts);
 
-    /// Supplies the head of a reply; it is signed unless `not_run` is set.
+    /// Supplies the head of a reply; it is signed unless `not_run` is set. A
+    /// successful one declares a stream of events in chunks.
     void reply_head(attempt_number attempt, int status, bool not_run = false);
+    void reply_head(attempt_number attempt, proxy_reply_head const &head);
     void reply_bytes(attempt_number attempt, std::string const &bytes);
     void reply_ends(attempt_number attempt, proxy_event_kind kind);
 
--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -1,5 +1,6 @@
 #include "advance_proxied_requests.hpp"
 
+#include "event_number.hpp"
 #include "extract_new_events.hpp"
 #include "log_proxied_request.hpp"
 #include "predict_event_gap.hpp"
@@ -53,6 +54,51 @@
            is_success(request.head->status);
 }
 
+/// @return true when a request that has reached an instance may be sent to a
+///         further one
+bool may_send_again(proxy_request_state const &request)
+{
+    bool const may_repeat = request.runs == 0 || request.route->can_retry();
+    // A stream whose place is not known cannot be continued.
+    bool const may_continue =
+        !request.answering ||
+        (request.route->resumable && event_number(request.last_event));
+    return may_repeat && may_continue;
+}
+
+/// @return why the body of a reply must not go to the caller, who may have
+///         received a part of the stream; empty when it may
+std::string fault_of(proxy_request_state const &request,
+                     proxy_reply_head const &head)
+{
+    if (!is_success(head.status))
+    {
+        return {};
+    }
+    if (!head.is_signed)
+    {
+        return "the reply is not signed by the instance";
+    }
+    bool const fits =
+        !request.answering || (head.status == http_ok &&
+                               head.is_event_stream == request.is_event_stream);
+    return fits ? "" : "the reply does not continue the stream";
+}
+
+/// @return true when the end of the call's reply is the end of the stream
+bool completes_stream(proxy_request_state const &request,
+                      proxy_attempt const &attempt)
+{
+    if (attempt.forwarded_events || !request.head->is_event_stream)
+    {
+        return true;
+    }
+    // No event may be left after the last one. The end of a connection does not
+    // state that, because it may as well be a failure.
+    return !request.last_event.empty() &&
+           request.head->framing != body_framing::connection;
+}
+
 void count_call(world &w, std::string const &result)
 {
     ++w.proxy.metrics.calls[result];
@@ -74,11 +120,10 @@
     request->head.reset();
     request->body.clear();
     request->partial_event.clear();
-    bool const may_repeat = request->runs == 0 || request->route->can_retry();
-    bool const may_resume = !request->answering || request->route->resumable;
-    if (may_repeat && may_resume &&
+    if (may_send_again(*request) &&
         retry_proxied_request(w, *request, arrived, pause, reason))
     {
+        request->resumes += request->answering ? 1 : 0;
         w.proxy.metrics.resumed_streams += request->answering ? 1 : 0;
         return;
     }
@@ -104,15 +149,18 @@
                         {"sent", sent ? "true" : "false"},
                         {"stage", prefill ? "prefill" : "run"},
                         {"reason", reason}});
-    if (!sent)
+    if (sent)
+    {
+        request->prefill_failed |= prefill;
+        // The handle may have been used, so it is not offered again; an unused
+        // KV cache expires on the engine that holds it.
+        request->retained_prefill.reset();
+    }
+    else
     {
         request->runs -= prefill ? 0 : 1;
         --request->sends;
     }
-    request->prefill_failed |= prefill && sent;
-    // The handle may have been used, so it is not offered again; an unused KV
-    // cache expires on the engine that holds it.
-    request->retained_prefill.reset();
     retry_or_fail(w, number, sent, pause, reason);
 }
 
@@ -173,17 +221,22 @@
         handle_call_refusal(w, attempt, *head);
         return;
     }
-    if (is_success(head->status) && !head->is_signed &&
-        attempt.stage == proxy_stage::run)
+    if (is_success(head->status) && attempt.stage == proxy_stage::prefill)
     {
-        handle_call_failure(w, attempt, true,
-                            "the reply is not signed by the instance");
         return;
     }
-    if (auto *request = w.proxy.requests.find(attempt.request))
+    auto *request = w.proxy.requests.find(attempt.request);
+    if (request == nullptr)
     {
-        request->head = head;
+        return;
     }
+    auto const fault = fault_of(*request, *head);
+    if (!fault.empty())
+    {
+        handle_call_failure(w, attempt, true, fault);
+        return;
+    }
+    request->head = head;
 }
 
 /// Updates the predictions for the instance from the first bytes of a reply.
@@ -222,6 +275,7 @@
         return;
     }
     request.first_event_at = w.now;
+    request.is_event_stream = request.head->is_event_stream;
     proxy_answer answer;
     answer.request = request.number;
     answer.kind = proxy_answer_kind::begin;
@@ -247,25 +301,30 @@
     }
 }
 
-void forward_events(world &w, proxy_attempt &attempt,
+/// Forwards the complete events of the reply.
+///
+/// @return false when the reply does not continue the stream
+bool forward_events(world &w, proxy_attempt &attempt,
                     proxy_request_state &request)
 {
-    auto events = extract_new_events(request.partial_event, request.last_event);
-    if (events.empty())
-    {
-        return;
-    }
-    begin_answer(w, request);
-    record_event_time(w, attempt, request);
-    if (++attempt.events == min_events_of_sound_answer)
-    {
-        record_sound_answer(w, request);
-    }
-    proxy_answer answer;
-    answer.request = request.number;
-    answer.kind = proxy_answer_kind::body_chunk;
-    answer.bytes = std::move(events);
-    w.out.proxy_answers.push_back(std::move(answer));
+    auto events = extract_new_events(request.partial_event, request.last_event,
+                                     request.resumes > 0);
+    if (!events.text.empty())
+    {
+        attempt.forwarded_events = true;
+        begin_answer(w, request);
+        record_event_time(w, attempt, request);
+        if (++attempt.events == min_events_of_sound_answer)
+        {
+            record_sound_answer(w, request);
+        }
+        proxy_answer answer;
+        answer.request = request.number;
+        answer.kind = proxy_answer_kind::body_chunk;
+        answer.bytes = std::move(events.text);
+        w.out.proxy_answers.push_back(std::move(answer));
+    }
+    return !events.unnumbered;
 }
 
 void handle_reply_bytes(world &w, proxy_attempt &attempt,
@@ -280,7 +339,12 @@
     if (is_stream(*request))
     {
         request->partial_event += bytes;
-        forward_events(w, attempt, *request);
+        if (!forward_events(w, attempt, *request))
+        {
+            handle_call_failure(w, attempt, true,
+                                "the reply does not continue the stream");
+            return;
+        }
     }
     else
     {
@@ -324,22 +388,28 @@
 void handle_error_reply(world &w, proxy_request_state &request)
 {
     auto const status = request.head->status;
+    auto const reason =
+        "the instance replied with status " + std::to_string(status);
+    if (request.answering)
+    {
+        request.retained_prefill.reset();
+        retry_or_fail(w, request.number, true, duration(0), reason);
+        return;
+    }
     bool const again =
         status >= first_server_error && request.route->can_retry() &&
-        retry_proxied_request(w, request, true, duration(0),
-                              "the instance replied with status " +
-                                  std::to_string(status));
+        retry_proxied_request(w, request, true, duration(0), reason);
     if (again)
     {
         request.head.reset();
         request.body.clear();
+        // The engine that replied has taken the KV cache.
+        request.retained_prefill.reset();
         return;
     }
-    if (request.answering || means_not_run(status))
+    if (means_not_run(status))
     {
-        fail_proxied_request(w, request.number,
-                             "the instance replied with status " +
-                                 std::to_string(status));
+        fail_proxied_request(w, request.number, reason);
         return;
     }
     forward_complete_answer(w, request);
@@ -360,6 +430,12 @@
                                   "the stream ended in the middle of an event");
         return;
     }
+    if (is_stream(*request) && !completes_stream(*request, attempt))
+    {
+        handle_connection_failure(w, attempt,
+                                  "the stream ended without an event");
+        return;
+    }
     record_first_bytes(w, attempt);
     bool const success = is_success(request->head->status);
     count_call(w, success ? "answered" : "error");
@@ -424,6 +500,12 @@
             w, *attempt,
             "the connection failed after the request may have been sent");
         return;
+    case proxy_event_kind::truncated:
+        ++w.proxy.metrics.truncated_replies;
+        handle_connection_failure(
+            w, *attempt,
+            "the connection was closed before the end of the reply");
+        return;
     }
 }
 
@@ -445,6 +527,7 @@
     record_first_bytes(w, *attempt);
     count_call(w, "prefilled");
     ++w.proxy.metrics.prefill_handovers;
+    request->prefilled = true;
     request->retained_prefill = kept_prefill{
         attempt->instance, instance->definition.address, result.handle};
     close_attempt(w, result.attempt, call_result::succeeded);
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -88,6 +88,10 @@
 
     void resume();
 
+    /// @return true when the call failed because the connection was closed
+    ///         before the end of the reply's body
+    bool truncated() const { return truncated_; }
+
 private:
     struct callbacks;
 
@@ -99,8 +103,11 @@
     void read_next();
     void handle_read(gssize count);
     void deliver(std::string_view bytes);
-    bool is_complete() const;
-    bool peer_closed() const;
+    /// Closes the call's own connection if the body is chunked.
+    ///
+    /// @return true when the end of the body is the declared one
+    bool is_complete();
+    bool has_last_chunk();
     void close_connection();
     void finish(http_outcome outcome);
     void fail();
@@ -119,6 +126,7 @@
     bool has_total_timeout_ = false;
     bool paused_ = false;
     bool reading_ = false;
+    bool truncated_ = false;
     bool ended_ = false;
 };
 
--- a/src/instance_client.cpp
+++ b/src/instance_client.cpp
@@ -108,13 +108,6 @@
 {
     open_.at(call.attempt).status = status;
     auto head = codec_.decode_head(call, {status, std::move(headers)});
-    bool const prefill_succeeded = call.stage == proxy_stage::prefill &&
-                                   status == http_ok &&
-                                   !head.mismatched_attempt && !head.not_run;
-    if (prefill_succeeded)
-    {
-        return;
-    }
     proxy_event event;
     event.attempt = call.attempt;
     event.kind = proxy_event_kind::head;
@@ -165,7 +158,9 @@
     {
         proxy_event event;
         event.attempt = call.attempt;
-        event.kind = kind_of(outcome);
+        event.kind = open.http && open.http->truncated()
+                         ? proxy_event_kind::truncated
+                         : kind_of(outcome);
         loop_.input().proxy_events.push_back(std::move(event));
     }
     remove_call(call.attempt);
--- a/src/peer_messages.cpp
+++ b/src/peer_messages.cpp
@@ -1,11 +1,14 @@
 #include "peer_messages.hpp"
 
+#include "json_slices.hpp"
 #include "json_text.hpp"
 #include "result_code.hpp"
 
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -138,16 +141,44 @@
     return out;
 }
 
-host_entry host_from(Json::Value const &in)
+/// @return the host, or nothing when a member has a wrong type
+std::optional<host_entry> host_from(Json::Value const &in)
 {
-    return {in["name"].asString(), in["data_centre"].asString(),
-            in["address"].asString(), in["leaving"].asBool(),
-            in["entry"].asBool()};
+    try
+    {
+        return host_entry{in["name"].asString(), in["data_centre"].asString(),
+                          in["address"].asString(), in["leaving"].asBool(),
+                          in["entry"].asBool()};
+    }
+    catch (Json::Exception const &)
+    {
+        return std::nullopt;
+    }
 }
 
-membership_report read_report(Json::Value const &in)
+/// Reads each host by itself: an entry of another writer that cannot be read,
+/// or that the parser refuses, hides no other.
+///
+/// @return nothing when `text` is no list, or has hosts but none is readable
+std::optional<membership_report> read_hosts(std::string_view text)
 {
-    return {list_from(in["hosts"], host_from)};
+    auto const entries = json_elements(text);
+    if (!entries || entries->size() > max_items)
+    {
+        return std::nullopt;
+    }
+    membership_report out;
+    for (auto const entry : *entries)
+    {
+        auto const in = json_from_text(entry);
+        auto host = in.ok() ? host_from(*in) : std::nullopt;
+        if (host)
+        {
+            out.hosts.push_back(*std::move(host));
+        }
+    }
+    return out.hosts.empty() && !entries->empty() ? std::nullopt
+                                                  : std::optional(out);
 }
 
 /// Parses a JSON document and converts it with `read`.
@@ -217,7 +248,11 @@
 absl::StatusOr<membership_report>
 membership_report_from_text(std::string const &text)
 {
-    return read_document(text, "list of hosts", read_report);
+    auto const list = json_member(text, "hosts");
+    auto const report = list ? read_hosts(*list) : std::nullopt;
+    return report ? absl::StatusOr<membership_report>(*report)
+                  : make_status(result_code::invalid_request,
+                                "not a list of readable hosts");
 }
 
 } // namespace agateledge
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -1,8 +1,10 @@
 #include "place_proxied_requests.hpp"
 
+#include "available_from.hpp"
 #include "choose_instance.hpp"
 #include "hold_suspected_prompts.hpp"
 #include "log_proxied_request.hpp"
+#include "next_available_instance.hpp"
 #include "proxy_lifecycle.hpp"
 #include "world.hpp"
 
@@ -30,6 +32,10 @@
 /// are hundreds of ticks a second, and one comparison costs as much as a tick.
 constexpr duration comparison_interval = milliseconds(5);
 
+/// Maximum time after which a request that waits for the end of a pause is
+/// reconsidered, because another instance may have been listed.
+constexpr duration pause_check_interval = milliseconds(100);
+
 /// Lower limit of the retry-after time for a request whose deadline cannot be
 /// met; the time itself is derived from the excess of the predicted wait.
 constexpr duration min_retry_after = milliseconds(500);
@@ -106,13 +112,24 @@
     w.out.proxy_calls.push_back(
         make_call(w, request, instance, choice, attempt, background));
     record_placement(w, request, instance, choice);
-    proxy.requests.add({attempt, request.number, choice.instance, choice.stage,
-                        w.now, choice.prediction.time,
-                        choice.prediction.unread_tokens,
-                        instance.open_calls.size(), false, background});
+    proxy.requests.add(
+        proxy_attempt{.attempt = attempt,
+                      .request = request.number,
+                      .instance = choice.instance,
+                      .stage = choice.stage,
+                      .sent_at = w.now,
+                      .predicted = choice.prediction.time,
+                      .unread_tokens = choice.prediction.unread_tokens,
+                      .calls_before = instance.open_calls.size(),
+                      .background = background,
+                      .incarnation = incarnation_of(instance.definition)});
     instance.open_calls.insert(attempt);
     instance.add_unread_tokens(choice.prediction.unread_tokens, background);
     instance.cache.record_prompt(request.chain, w.now);
+    if (std::exchange(request.retry_reserved, false))
+    {
+        proxy.budgets[request.service].charge(w.now);
+    }
     request.attempt = attempt;
     request.tried_instances.push_back(choice.instance);
     request.runs += prefill ? 0 : 1;
@@ -184,6 +201,45 @@
     wake_at(w, request.not_before);
 }
 
+/// @return time by which the next event must arrive, or else the caller leaves
+instant event_due(proxy_request_state const &request)
+{
+    if (!request.answering)
+    {
+        return request.begin_by;
+    }
+    return std::min(request.expires_at,
+                    request.last_event_at +
+                        request.route->stream_idle_timeout());
+}
+
+/// Queues the request until the first pause of an instance ends; fails it when
+/// that is too late, or when no pause is the reason that there is no instance.
+void await_instance(world &w, request_number number, queued_tokens &queued)
+{
+    auto &request = *w.proxy.requests.find(number);
+    auto const *next = next_available_instance(w, request.service);
+    bool const paused =
+        next != nullptr && w.proxy.paused_until(next->definition) > w.now;
+    if (!paused)
+    {
+        fail_proxied_request(w, number,
+                             "no instance of the service accepts work");
+        return;
+    }
+    auto const from = available_from(w, *next);
+    auto const prediction = predict_first_event(w, request, *next, 0);
+    if (from + prediction.time > event_due(request))
+    {
+        fail_proxied_request(w, number,
+                             "the instances of the service have asked for a "
+                             "pause that ends too late");
+        return;
+    }
+    request.not_before = std::min(from, w.now + pause_check_interval);
+    requeue(w, request, queued);
+}
+
 /// Sends, refuses or queues the request.
 void place(world &w, request_number number, queued_tokens &queued)
 {
@@ -195,8 +251,7 @@
     auto const choice = choose_instance(w, request);
     if (!choice)
     {
-        fail_proxied_request(w, number,
-                             "no instance of the service accepts work");
+        await_instance(w, number, queued);
         return;
     }
     auto const remaining = request.begin_by - w.now;
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_PROXY_MESSAGES_HPP
 #define AGATELEDGE_PROXY_MESSAGES_HPP
 
+#include "body_framing.hpp"
 #include "ids.hpp"
 #include "result_code.hpp"
 #include "shared_text.hpp"
@@ -142,6 +143,7 @@
 struct proxy_reply_head
 {
     int status = 0;
+    body_framing framing = body_framing::chunked;
     /// Headers to forward to the caller.
     header_list headers;
     /// The instance reports that it did not execute the request.
@@ -150,8 +152,14 @@
     bool mismatched_attempt = false;
     /// The reply has the signature header of an instance.
     bool is_signed = false;
+    /// The body is declared as a stream of events.
+    bool is_event_stream = false;
     /// The reply came from another instance than the one that was called.
     bool wrong_instance = false;
+    /// The instance announces that it leaves.
+    bool instance_leaves = false;
+    /// Time for which the instance asks for no further requests.
+    std::optional<duration> retry_after;
 };
 
 enum class proxy_event_kind
@@ -166,6 +174,8 @@
     failed_before_send,
     /// The call failed after part of the request may have been sent.
     failed_after_send,
+    /// The connection was closed before the end of the reply's body.
+    truncated,
 };
 
 /// Progress of a call to an instance.
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -36,8 +36,13 @@
     counter_map connection_failures;
     /// Requests that were not sent on because of a part of their prompt.
     std::uint64_t held_prompts = 0;
+    /// Incarnations that announced that they leave.
+    std::uint64_t leave_announcements = 0;
+    /// Pauses that instances asked for.
+    std::uint64_t instance_pauses = 0;
     std::uint64_t retries = 0;
     std::uint64_t retries_denied = 0;
+    std::uint64_t truncated_replies = 0;
     std::uint64_t resumed_streams = 0;
     std::uint64_t prefill_handovers = 0;
     /// Prompt tokens that were predicted to be cached and to be prefilled.
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -76,10 +76,16 @@
     write_value(out, "suspected_prompt_parts", "gauge",
                 static_cast<double>(
                     w.proxy.part_evidence.table.suspected_parts(w.now).size()));
+    write_value(out, "leave_announcements_total", "counter",
+                static_cast<double>(metrics.leave_announcements));
+    write_value(out, "instance_pauses_total", "counter",
+                static_cast<double>(metrics.instance_pauses));
     write_value(out, "retries_total", "counter",
                 static_cast<double>(metrics.retries));
     write_value(out, "retries_denied_total", "counter",
                 static_cast<double>(metrics.retries_denied));
+    write_value(out, "truncated_replies_total", "counter",
+                static_cast<double>(metrics.truncated_replies));
     write_value(out, "resumed_streams_total", "counter",
                 static_cast<double>(metrics.resumed_streams));
     write_value(out, "prefill_handovers_total", "counter",
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -10,6 +10,8 @@
 #include "place_proxied_requests.hpp"
 #include "poll_caches.hpp"
 #include "poll_store.hpp"
+#include "record_instance_pauses.hpp"
+#include "record_leaving_instances.hpp"
 #include "stop_proxy.hpp"
 #include "track_engine_losses.hpp"
 #include "update_directory.hpp"
@@ -22,6 +24,8 @@
     poll_store(w);
     update_directory(w);
     exchange_loads(w);
+    record_leaving_instances(w);
+    record_instance_pauses(w);
     advance_proxied_requests(w);
     track_engine_losses(w);
     exchange_part_evidence(w);
