Count a complete short answer as sound, and a bare close as a crash

A stream of fewer than four reads cleared no part, so that parts of short answers could be suspected for longer than needed. An end that the framing of the reply declares is a success; one that is only the end of the connection, after one event at most, may be a crash and is watched like a failed connection. Tests: prompt_hold. crashes_that_truncate_a_reply_are_evidence_too and crashes_that_end_a_reply_without_length_are_evidence_too; they were written with the change and not seen failing before it.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -438,6 +438,12 @@
     }
     record_first_bytes(w, attempt);
     bool const success = is_success(request->head->status);
+    if (success && request->head->framing == body_framing::connection &&
+        attempt.events <= 1)
+    {
+        // The connection of an engine that crashes ends in the same way.
+        record_connection_failure(w, attempt, *request);
+    }
     count_call(w, success ? "answered" : "error");
     close_attempt(w, attempt.attempt,
                   request->head->status >= first_server_error
@@ -448,14 +454,15 @@
         handle_error_reply(w, *request);
         return;
     }
+    if (request->head->framing != body_framing::connection)
+    {
+        record_sound_answer(w, *request);
+    }
     if (is_stream(*request))
     {
-        // Its end proves nothing: a stream without length and chunks also ends
-        // when its engine crashes.
         end_stream(w, *request);
         return;
     }
-    record_sound_answer(w, *request);
     forward_complete_answer(w, *request);
 }
 
--- a/test/correctness/prompt_hold_test.cpp
+++ b/test/correctness/prompt_hold_test.cpp
@@ -87,6 +87,19 @@
             "/chat/x", {first_part, second_part, ++last_part_});
     }
 
+    /// @return head of a reply with events in chunks
+    static proxy_reply_head head()
+    {
+        proxy_reply_head out;
+        out.status = 200;
+        out.is_signed = true;
+        out.is_event_stream = true;
+        return out;
+    }
+
+    /// How the reply of an engine that crashes begins and ends.
+    proxy_reply_head head_of_crash = head();
+    proxy_event_kind crash = proxy_event_kind::failed_after_send;
     double lost_share = 0;
     int guilty_calls = 0;
     int sound_calls = 0;
@@ -100,11 +113,10 @@
             call.content->prompt->parts,
             [](prompt_part const &part) { return part.id == guilty_part; });
         ++(guilty ? guilty_calls : sound_calls);
-        daemon.reply_head(call.attempt, 200);
+        daemon.reply_head(call.attempt, guilty ? head_of_crash : head());
         if (guilty)
         {
-            daemon.reply_ends(call.attempt,
-                              proxy_event_kind::failed_after_send);
+            daemon.reply_ends(call.attempt, crash);
             crashing_.push_back(call.instance);
             return;
         }
@@ -187,6 +199,32 @@
     EXPECT_GE(std::ranges::count_if(fleet.answers, is_held), 35);
 }
 
+void crash_repeatedly(tainted_fleet &fleet)
+{
+    for (std::size_t i = 0; i < 20; ++i)
+    {
+        fleet.send(i % 4, guilty_part);
+        fleet.advance(milliseconds(500));
+    }
+}
+
+TEST(prompt_hold, crashes_that_truncate_a_reply_are_evidence_too)
+{
+    tainted_fleet fleet(4);
+    fleet.crash = proxy_event_kind::truncated;
+    crash_repeatedly(fleet);
+    EXPECT_LE(fleet.guilty_calls, 6);
+}
+
+TEST(prompt_hold, crashes_that_end_a_reply_without_length_are_evidence_too)
+{
+    tainted_fleet fleet(4);
+    fleet.crash = proxy_event_kind::finished;
+    fleet.head_of_crash.framing = body_framing::connection;
+    crash_repeatedly(fleet);
+    EXPECT_LE(fleet.guilty_calls, 6);
+}
+
 TEST(prompt_hold, a_held_prompt_is_refused_as_not_run_with_a_time_to_return)
 {
     tainted_fleet fleet(1);
