Blame the part with the most evidence, and no bystander

A first part that no answer had cleared yet would have been held with the guilty part of the same prompts (LOST), and a prompt that twice ran beside a guilty one would have been held for its bad luck. Losses of engines that were also lost under a suspected part with more evidence do not count for other parts, nor against a single prompt, which is held for 30 s from its second loss. Only own successes are reported, because a success that is passed on would look newer at each daemon. News goes to all daemons. A loss counts for the incarnation that was called, not for one that was listed since, and not when the engine was leaving.

--- a/src/exchange_part_evidence.cpp
+++ b/src/exchange_part_evidence.cpp
@@ -41,11 +41,6 @@
         std::clamp<std::int64_t>(age, 0, max_age_ms));
 }
 
-bool is_hub(world const &w)
-{
-    return !is_mesh(w) && hub_of(w, w.identity.data_centre) == w.identity.name;
-}
-
 void merge_loss(world &w, engine_loss const &loss, instant at)
 {
     auto &evidence = w.proxy.part_evidence;
@@ -55,8 +50,7 @@
     }
     evidence.verdicts_may_have_changed = true;
     // The sender has not been told of a success that disproves the loss.
-    evidence.has_news |=
-        is_hub(w) || !evidence.table.is_unproven(loss.part, w.now);
+    evidence.has_news |= !evidence.table.is_unproven(loss.part, w.now);
 }
 
 void merge(world &w, part_evidence_report const &report)
@@ -68,13 +62,12 @@
             merge_loss(w, loss, w.now - milliseconds(age));
         }
     }
-    auto &evidence = w.proxy.part_evidence;
     for (auto const &[part, age] : report.successes)
     {
-        if (age < max_age_ms &&
-            evidence.table.record_success(part, w.now - milliseconds(age)))
+        if (age < max_age_ms)
         {
-            evidence.has_news |= is_hub(w);
+            w.proxy.part_evidence.table.record_peer_success(
+                part, w.now - milliseconds(age));
         }
     }
 }
@@ -92,18 +85,30 @@
     }
 }
 
-/// @param news the report has evidence of this daemon that is new
+bool is_hub(world const &w)
+{
+    return !is_mesh(w) && hub_of(w, w.identity.data_centre) == w.identity.name;
+}
+
+/// @return the receivers of a report: all daemons if it has news, which are
+///         rare; otherwise those on the ways of the load reports, and another
+///         one each time, so that a failed hub does not isolate its daemons
 std::vector<std::string> receivers(world const &w, bool news)
 {
-    if (is_mesh(w))
+    if (news || is_mesh(w))
     {
         return all_peers(w);
     }
-    if (!news && !is_hub(w))
+    auto const peers = all_peers(w);
+    auto const turn = w.now.time_since_epoch() / repetition_interval;
+    std::vector<std::string> out{
+        peers[static_cast<std::size_t>(turn) % peers.size()]};
+    if (!is_hub(w))
     {
-        return {hub_of(w, w.identity.data_centre)};
+        out.push_back(hub_of(w, w.identity.data_centre));
+        return out;
     }
-    auto out = local_peers(w);
+    std::ranges::copy(local_peers(w), std::back_inserter(out));
     std::ranges::copy(remote_hubs(w), std::back_inserter(out));
     return out;
 }
--- a/src/hold_suspected_prompts.cpp
+++ b/src/hold_suspected_prompts.cpp
@@ -18,12 +18,6 @@
 namespace
 {
 
-/// Number of engines after whose loss a prompt is not sent again.
-constexpr std::size_t max_engines_lost_under_prompt = 2;
-
-/// Time for which such a prompt is held back.
-constexpr duration prompt_hold = seconds(30);
-
 constexpr char const *reason =
     "engines crashed as they began to answer prompts with a part of this one";
 
@@ -37,11 +31,7 @@
     for (auto const part : shared_parts_of(request))
     {
         until = std::max(until, table.suspected_until(part, w.now));
-        if (table.engines_lost_under(part, prompt, w.now) >=
-            max_engines_lost_under_prompt)
-        {
-            until = std::max(until, std::optional(w.now + prompt_hold));
-        }
+        until = std::max(until, table.held_until(part, prompt, w.now));
     }
     return until;
 }
--- a/src/part_evidence_table.cpp
+++ b/src/part_evidence_table.cpp
@@ -44,7 +44,12 @@
 constexpr int max_prompts_of_loss = 2;
 
 /// Losses of one part that are reported; more do not change the verdict.
-constexpr std::size_t max_reported_losses_of_part = 16;
+constexpr std::size_t max_reported_losses_of_part = 8;
+
+/// Engines after whose loss one prompt is not sent again, and time for which it
+/// is held back.
+constexpr std::size_t max_engines_lost_under_prompt = 2;
+constexpr duration prompt_hold = seconds(30);
 
 using dated_loss = part_evidence_table::dated_loss;
 
@@ -74,6 +79,13 @@
     return prompts.size();
 }
 
+/// @return true when `losses`, by engine and prompt, have the engine
+bool has_engine(auto const &losses, std::uint64_t engine)
+{
+    return std::ranges::any_of(losses, [engine](auto const &item)
+                               { return item.first.first == engine; });
+}
+
 std::size_t count_engines(std::vector<dated_loss> const &losses)
 {
     std::set<std::uint64_t> engines;
@@ -85,6 +97,17 @@
 
 } // namespace
 
+/// Parts with more lost engines come first, then those without a success, then
+/// those that come later in their prompts, which fewer prompts share.
+struct part_evidence_table::verdict_weight
+{
+    std::size_t engines = 0;
+    bool never_answered = false;
+    std::uint8_t place = 0;
+
+    auto operator<=>(verdict_weight const &) const = default;
+};
+
 bool part_evidence_table::record_loss(engine_loss const &loss, instant at)
 {
     if (losses_.size() >= max_parts && !losses_.contains(loss.part))
@@ -140,7 +163,25 @@
     last = std::max(last, at);
 }
 
+void part_evidence_table::record_peer_success(std::uint64_t part, instant at)
+{
+    if (losses_.contains(part))
+    {
+        auto &last =
+            peer_successes_.try_emplace(part, instant::min()).first->second;
+        last = std::max(last, at);
+    }
+}
+
 instant part_evidence_table::last_success(std::uint64_t part) const
+{
+    auto const peer = peer_successes_.find(part);
+    return std::max(last_own_success(part), peer == peer_successes_.end()
+                                                ? instant::min()
+                                                : peer->second);
+}
+
+instant part_evidence_table::last_own_success(std::uint64_t part) const
 {
     auto const time_in = [part](times_by_part const &times)
     {
@@ -181,25 +222,39 @@
     {
         return std::nullopt;
     }
-    std::erase_if(losses, [this, now](dated_loss const &loss)
-                  { return is_explained(loss, now); });
+    remove_explained(losses, weight_of(part, now), now);
     return suspected_until(part, losses, now);
 }
 
-bool part_evidence_table::is_explained(dated_loss const &loss,
-                                       instant now) const
+part_evidence_table::verdict_weight
+part_evidence_table::weight_of(std::uint64_t part, instant now) const
+{
+    auto const losses = counting_losses_of(part, now);
+    verdict_weight out{count_engines(losses),
+                       last_success(part) == instant::min(), 0};
+    for (auto const &item : losses)
+    {
+        out.place = std::max(out.place, item.first.place);
+    }
+    return out;
+}
+
+void part_evidence_table::remove_explained(std::vector<dated_loss> &losses,
+                                           verdict_weight const &weight,
+                                           instant now) const
 {
-    auto const key = std::pair(loss.first.engine, loss.first.prompt);
-    return std::ranges::any_of(
-        losses_,
-        [&](auto const &item)
+    for (auto const &item : losses_)
+    {
+        auto const other = counting_losses_of(item.first, now);
+        if (other.size() < min_engines ||
+            weight_of(item.first, now) <= weight ||
+            !suspected_until(item.first, other, now))
         {
-            auto const &[part, losses] = item;
-            auto const found = losses.find(key);
-            return found != losses.end() &&
-                   found->second.place > loss.first.place &&
-                   suspected_until(part, counting_losses_of(part, now), now);
-        });
+            continue;
+        }
+        std::erase_if(losses, [&item](dated_loss const &loss)
+                      { return has_engine(item.second, loss.first.engine); });
+    }
 }
 
 std::optional<instant>
@@ -243,20 +298,44 @@
     return !counting_losses_of(part, now).empty();
 }
 
-std::size_t part_evidence_table::engines_lost_under(std::uint64_t part,
-                                                    std::uint64_t prompt,
-                                                    instant now) const
+std::optional<instant> part_evidence_table::held_until(std::uint64_t part,
+                                                       std::uint64_t prompt,
+                                                       instant now) const
 {
     auto losses = counting_losses_of(part, now);
-    std::erase_if(losses, [prompt](dated_loss const &item)
-                  { return item.first.prompt != prompt; });
-    return count_engines(losses);
+    std::erase_if(losses,
+                  [prompt, now](dated_loss const &item) {
+                      return item.first.prompt != prompt ||
+                             item.second <= now - prompt_hold;
+                  });
+    if (count_engines(losses) < max_engines_lost_under_prompt)
+    {
+        return std::nullopt;
+    }
+    remove_explained(losses, {}, now);
+    if (count_engines(losses) < max_engines_lost_under_prompt)
+    {
+        return std::nullopt;
+    }
+    return losses[losses.size() - max_engines_lost_under_prompt].second +
+           prompt_hold;
+}
+
+bool part_evidence_table::was_lost_under(std::uint64_t part,
+                                         std::uint64_t prompt,
+                                         instant now) const
+{
+    return std::ranges::any_of(counting_losses_of(part, now),
+                               [prompt, now](dated_loss const &item) {
+                                   return item.first.prompt == prompt &&
+                                          item.second > now - prompt_hold;
+                               });
 }
 
 std::vector<dated_loss>
 part_evidence_table::counting_losses(instant now, std::size_t max_losses) const
 {
-    std::vector<std::pair<std::size_t, std::vector<dated_loss>>> by_part;
+    std::vector<std::pair<verdict_weight, std::vector<dated_loss>>> by_part;
     for (auto const &[part, all] : losses_)
     {
         auto losses = counting_losses_of(part, now);
@@ -265,12 +344,11 @@
             losses.erase(losses.begin(),
                          losses.end() - max_reported_losses_of_part);
         }
-        auto const engines = count_engines(losses);
-        by_part.emplace_back(engines, std::move(losses));
+        by_part.emplace_back(weight_of(part, now), std::move(losses));
     }
     std::ranges::sort(by_part, std::greater<>());
     std::vector<dated_loss> out;
-    for (auto const &[engines, losses] : by_part)
+    for (auto const &[weight, losses] : by_part)
     {
         auto const count = std::min(losses.size(), max_losses - out.size());
         std::copy_n(losses.begin(), count, std::back_inserter(out));
@@ -284,7 +362,7 @@
     std::vector<dated_part> out;
     for (auto const &[part, losses] : losses_)
     {
-        auto const at = last_success(part);
+        auto const at = last_own_success(part);
         if (at != instant::min())
         {
             out.emplace_back(part, at);
@@ -306,6 +384,8 @@
     }
     std::erase_if(losses_,
                   [](auto const &item) { return item.second.empty(); });
+    std::erase_if(peer_successes_, [now](auto const &item)
+                  { return item.second <= now - loss_lifetime; });
 }
 
 } // namespace agateledge
--- a/src/part_evidence_table.hpp
+++ b/src/part_evidence_table.hpp
@@ -35,6 +35,11 @@
     /// @return true when this disproves losses that counted until now
     bool record_success(std::uint64_t part, instant at);
 
+    /// Records the last success at another daemon, unless no loss of the part
+    /// is known. It is not reported on, because its time includes that of the
+    /// transfer.
+    void record_peer_success(std::uint64_t part, instant at);
+
     /// @return time until which prompts with the part are not sent to engines;
     ///         none when it is not suspected
     std::optional<instant> suspected_until(std::uint64_t part,
@@ -47,9 +52,14 @@
     ///         the last success
     bool is_unproven(std::uint64_t part, instant now) const;
 
-    /// @return number of engines that were lost under one prompt with the part
-    std::size_t engines_lost_under(std::uint64_t part, std::uint64_t prompt,
-                                   instant now) const;
+    /// @return time until which a prompt with the part is not sent because it
+    ///         has itself lost several engines; none when it may be sent
+    std::optional<instant> held_until(std::uint64_t part, std::uint64_t prompt,
+                                      instant now) const;
+
+    /// @return true when an engine was lost under one prompt with the part
+    bool was_lost_under(std::uint64_t part, std::uint64_t prompt,
+                        instant now) const;
 
     bool has_losses() const { return !losses_.empty(); }
 
@@ -60,7 +70,7 @@
     std::vector<dated_loss> counting_losses(instant now,
                                             std::size_t max_losses) const;
 
-    /// @return the last successes of parts with losses, the newest first
+    /// @return the last own successes of parts with losses, the newest first
     ///
     /// @param max_successes maximum number of successes
     std::vector<dated_part> contrary_successes(std::size_t max_successes) const;
@@ -80,6 +90,9 @@
         std::map<std::pair<std::uint64_t, std::uint64_t>, loss_detail>;
     using times_by_part = std::unordered_map<std::uint64_t, instant>;
 
+    struct verdict_weight;
+
+    instant last_own_success(std::uint64_t part) const;
     instant last_success(std::uint64_t part) const;
     void note_success(std::uint64_t part, instant at);
     /// @return losses that are newer than the part's last success, oldest first
@@ -89,15 +102,19 @@
     std::optional<instant>
     suspected_until(std::uint64_t part, std::vector<dated_loss> const &losses,
                     instant now) const;
-    /// @return true when the loss is also one of another suspected part, which
-    ///         came later in its prompt
-    bool is_explained(dated_loss const &loss, instant now) const;
+    /// @return weight of the evidence that the part itself is guilty
+    verdict_weight weight_of(std::uint64_t part, instant now) const;
+    /// Removes the losses of engines that were also lost under another
+    /// suspected part, with more evidence than `weight`.
+    void remove_explained(std::vector<dated_loss> &losses,
+                          verdict_weight const &weight, instant now) const;
 
     std::unordered_map<std::uint64_t, losses_of_part> losses_;
     /// Successes since `successes_since_`, and those of the time before; a
     /// period is dropped as a whole.
     times_by_part recent_successes_;
     times_by_part earlier_successes_;
+    times_by_part peer_successes_;
     instant successes_since_{};
 };
 
--- a/src/track_engine_losses.cpp
+++ b/src/track_engine_losses.cpp
@@ -1,5 +1,6 @@
 #include "track_engine_losses.hpp"
 
+#include "exchange_loads.hpp"
 #include "log_proxied_request.hpp"
 #include "prompt_parts.hpp"
 #include "world.hpp"
@@ -55,11 +56,25 @@
         evidence.pending, [prompt](pending_engine_loss const &loss)
         { return loss.prompt == prompt && !loss.joint; });
     return pending ||
-           std::ranges::any_of(parts,
-                               [&](std::uint64_t part) {
-                                   return evidence.table.engines_lost_under(
-                                              part, prompt, w.now) > 0;
-                               });
+           std::ranges::any_of(
+               parts, [&](std::uint64_t part)
+               { return evidence.table.was_lost_under(part, prompt, w.now); });
+}
+
+/// An engine that leaves closes its connections without a fault.
+bool is_leaving(world const &w, instance_state const &instance)
+{
+    return !instance.definition.accepts_work ||
+           w.proxy.is_leaving(instance.definition);
+}
+
+/// @return the key of the incarnation in reports; see `load_key_of`
+std::uint64_t key_of(instance_incarnation const &incarnation)
+{
+    instance_definition engine;
+    engine.id = incarnation.id;
+    engine.started_at_ms = incarnation.started_at_ms;
+    return load_key_of(engine);
 }
 
 bool was_heard_since(world const &w, pending_engine_loss const &loss)
@@ -104,7 +119,7 @@
 {
     auto const *instance = w.proxy.instances.find(attempt.instance);
     auto parts = shared_parts_of(*request.content);
-    if (instance == nullptr || parts.empty() ||
+    if (instance == nullptr || parts.empty() || is_leaving(w, *instance) ||
         attempt.stage == proxy_stage::prefill ||
         attempt.events >= min_events_of_sound_answer)
     {
@@ -114,14 +129,13 @@
     bool const again = was_lost_under(w, parts, prompt);
     auto &pending = w.proxy.part_evidence.pending;
     pending.push_back({.instance = attempt.instance,
-                       .engine = instance->load_key,
+                       .engine = key_of(attempt.incarnation),
                        .request = request.content->caller_attempt,
                        .prompt = prompt,
                        .parts = std::move(parts),
                        .had_head = request.head != nullptr,
                        .events = attempt.events,
                        .at = w.now});
-    mark_joint_failures(pending);
     wake_at(w, w.now + confirmation_time);
     return again ? confirmation_time : duration(0);
 }
@@ -138,6 +152,10 @@
 void track_engine_losses(world &w)
 {
     auto &pending = w.proxy.part_evidence.pending;
+    if (!pending.empty() && pending.back().at == w.now)
+    {
+        mark_joint_failures(pending);
+    }
     auto const due =
         std::ranges::find_if(pending, [&w](pending_engine_loss const &loss)
                              { return loss.at + confirmation_time > w.now; });
--- a/test/correctness/part_evidence_table_test.cpp
+++ b/test/correctness/part_evidence_table_test.cpp
@@ -17,6 +17,15 @@
 constexpr std::uint64_t popular_part = 8;
 constexpr instant start{seconds(1000)};
 
+void record_three_losses(part_evidence_table &table)
+{
+    for (std::uint64_t engine = 1; engine <= 3; ++engine)
+    {
+        table.record_loss({part, engine, 100 + engine},
+                          start + seconds(engine));
+    }
+}
+
 TEST(part_evidence_table, a_part_that_crashes_engine_after_engine_is_suspected)
 {
     part_evidence_table table;
@@ -45,7 +54,8 @@
         table.record_loss({part, engine, 101}, start + seconds(engine));
     }
     EXPECT_FALSE(table.suspected_until(part, start + seconds(10)));
-    EXPECT_EQ(table.engines_lost_under(part, 101, start + seconds(10)), 10U);
+    EXPECT_TRUE(table.held_until(part, 101, start + seconds(10)));
+    EXPECT_FALSE(table.held_until(part, 102, start + seconds(10)));
 }
 
 TEST(part_evidence_table, a_popular_part_that_is_answered_between_stays_in_use)
@@ -98,15 +108,6 @@
     EXPECT_TRUE(table.suspected_until(part, start + seconds(3)));
 }
 
-void record_three_losses(part_evidence_table &table)
-{
-    for (std::uint64_t engine = 1; engine <= 3; ++engine)
-    {
-        table.record_loss({part, engine, 100 + engine},
-                          start + seconds(engine));
-    }
-}
-
 TEST(part_evidence_table, a_success_ends_a_wrong_suspicion)
 {
     part_evidence_table table;
@@ -141,6 +142,26 @@
     EXPECT_FALSE(table.suspected_until(popular_part, start + seconds(6)));
 }
 
+TEST(part_evidence_table, a_prompt_that_ran_beside_a_guilty_part_is_not_held)
+{
+    part_evidence_table table;
+    record_three_losses(table);
+    table.record_loss({popular_part, 1, 7}, start + seconds(1));
+    table.record_loss({popular_part, 2, 7}, start + seconds(2));
+    EXPECT_FALSE(table.held_until(popular_part, 7, start + seconds(4)));
+}
+
+TEST(part_evidence_table, successes_of_other_daemons_are_not_passed_on)
+{
+    part_evidence_table table;
+    record_three_losses(table);
+    table.record_peer_success(part, start + seconds(4));
+    EXPECT_FALSE(table.suspected_until(part, start + seconds(5)));
+    EXPECT_TRUE(table.contrary_successes(10).empty());
+    table.record_success(part, start + seconds(6));
+    EXPECT_EQ(table.contrary_successes(10).size(), 1U);
+}
+
 TEST(part_evidence_table, a_guilty_first_part_is_found_by_its_other_prompts)
 {
     part_evidence_table table;
