Read serialised reports by one function

The codecs of load reports and of evidence on prompt parts had the same owner of a GVariant and the same copy of the received bytes. They now share gvariant_ptr.hpp. No change of behaviour; the tests of both codecs cover it.

--- a/src/part_evidence_codec.cpp
+++ b/src/part_evidence_codec.cpp
@@ -1,10 +1,10 @@
 #include "part_evidence_codec.hpp"
 
+#include "gvariant_ptr.hpp"
 #include "part_evidence_report.hpp"
 
-#include <glib.h>
-
-#include <memory>
+#include <utility>
+#include <vector>
 
 namespace agateledge
 {
@@ -20,23 +20,6 @@
 /// Must be changed together with `format`.
 constexpr guchar format_version = 101;
 
-struct variant_unref
-{
-    void operator()(GVariant *variant) const { g_variant_unref(variant); }
-};
-
-using variant_ptr = std::unique_ptr<GVariant, variant_unref>;
-
-variant_ptr variant_of(std::string_view bytes)
-{
-    // Copied, because GVariant requires aligned data.
-    GBytes *copy = g_bytes_new(bytes.data(), bytes.size());
-    variant_ptr out(g_variant_ref_sink(
-        g_variant_new_from_bytes(G_VARIANT_TYPE(format), copy, FALSE)));
-    g_bytes_unref(copy);
-    return out;
-}
-
 std::vector<reported_loss> read_losses(GVariantIter *items)
 {
     std::vector<reported_loss> out;
@@ -86,7 +69,7 @@
         g_variant_builder_add(&successes, "(tu)", guint64{part},
                               guint32{age_ms});
     }
-    variant_ptr const variant(g_variant_ref_sink(
+    gvariant_ptr const variant(g_variant_ref_sink(
         g_variant_new(format, format_version, report.sender.c_str(),
                       report.data_centre.c_str(), &losses, &successes)));
     return {static_cast<char const *>(g_variant_get_data(variant.get())),
@@ -95,7 +78,7 @@
 
 std::optional<part_evidence_report> decode_part_evidence(std::string_view bytes)
 {
-    auto const variant = variant_of(bytes);
+    auto const variant = gvariant_from_bytes(format, bytes);
     if (g_variant_is_normal_form(variant.get()) == FALSE)
     {
         return std::nullopt;
--- a/src/peer_load_codec.cpp
+++ b/src/peer_load_codec.cpp
@@ -1,10 +1,8 @@
 #include "peer_load_codec.hpp"
 
+#include "gvariant_ptr.hpp"
 #include "peer_load_report.hpp"
 
-#include <glib.h>
-
-#include <memory>
 #include <utility>
 
 namespace agateledge
@@ -25,23 +23,6 @@
 /// cache. A report with a larger value is rejected as corrupt.
 constexpr guint32 max_unread_tokens = 20'000'000;
 
-struct variant_unref
-{
-    void operator()(GVariant *variant) const { g_variant_unref(variant); }
-};
-
-using variant_ptr = std::unique_ptr<GVariant, variant_unref>;
-
-variant_ptr variant_of(std::string_view bytes)
-{
-    // Copied, because GVariant requires aligned data.
-    GBytes *copy = g_bytes_new(bytes.data(), bytes.size());
-    variant_ptr out(g_variant_ref_sink(
-        g_variant_new_from_bytes(G_VARIANT_TYPE(format), copy, FALSE)));
-    g_bytes_unref(copy);
-    return out;
-}
-
 bool is_scope(guchar value)
 {
     return value <= static_cast<guchar>(load_scope::fleet);
@@ -59,7 +40,7 @@
                               guint32{load.unread_tokens},
                               guint32{load.open_calls});
     }
-    variant_ptr const variant(g_variant_ref_sink(g_variant_new(
+    gvariant_ptr const variant(g_variant_ref_sink(g_variant_new(
         format, format_version, static_cast<guchar>(report.scope),
         report.sender.c_str(), report.data_centre.c_str(),
         guint64{report.incarnation}, guint64{report.sequence}, &loads)));
@@ -69,7 +50,7 @@
 
 std::optional<peer_load_report> decode_peer_load(std::string_view bytes)
 {
-    auto const variant = variant_of(bytes);
+    auto const variant = gvariant_from_bytes(format, bytes);
     if (g_variant_is_normal_form(variant.get()) == FALSE)
     {
         return std::nullopt;
