--- a/harness/raw_client.cpp
+++ b/harness/raw_client.cpp
@@ -65,6 +65,13 @@
     return true;
 }
 
+bool raw_client::send_without_iteration(std::string_view bytes)
+{
+    auto const count =
+        ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return count == static_cast<ssize_t>(bytes.size());
+}
+
 void raw_client::read_available()
 {
     std::array<char, 65536> buffer{};
--- a/harness/raw_client.hpp
+++ b/harness/raw_client.hpp
@@ -33,6 +33,11 @@
     /// @return false if the connection failed
     bool send(std::string_view bytes);
 
+    /// Sends a short request without running the main context.
+    ///
+    /// @return false if the connection failed or did not take all bytes
+    bool send_without_iteration(std::string_view bytes);
+
     /// Reads until `text` has been received, and runs the main context
     /// meanwhile.
     ///
