Count the time of a request from its earliest possible arrival

A booking whose time had passed while the daemon was busy was still sent to an endpoint, and its time-out ended as late as its head had been read: the time of a request began when its head was read, not when it arrived.

poll_clock records the polls of the main context. Input that is handled in an iteration arrived after the previous poll, or just now if the poll had to wait, so that the daemon knows a bound without asking the kernel. Both front doors count from there.

saturated_loop.a_request_ends_by_the_time_since_it_was_sent, a daemon that is busy for 700 ms and a route with 400 ms: one call to the endpoint before, none after.

--- a/harness/loopback_proxy.cpp
+++ b/harness/loopback_proxy.cpp
@@ -90,11 +90,11 @@
 
 loopback_proxy::loopback_proxy(duration route_timeout, duration work_time)
     : route_timeout_(route_timeout), work_time_(work_time),
-      port_(unused_port()),
       endpoint_([this](SoupServerMessage *message, std::string const &,
                        std::string const &) { serve_endpoint(message); }),
       store_([this](SoupServerMessage *message, std::string const &path,
-                    std::string const &) { serve_store(message, path); })
+                    std::string const &) { serve_store(message, path); }),
+      port_(unused_port())
 {
     process_ = std::make_unique<proxy_process>(
         settings(), "", platform::make_codec(), incarnation_number(1), 1);
--- a/harness/loopback_proxy.hpp
+++ b/harness/loopback_proxy.hpp
@@ -48,10 +48,11 @@
 
     duration route_timeout_;
     duration work_time_;
-    int port_;
     int calls_ = 0;
     scripted_http_server endpoint_;
     scripted_http_server store_;
+    /// Chosen after the ports of the servers, which would otherwise take it.
+    int port_;
     std::unique_ptr<proxy_process> process_;
     bool stopped_ = false;
 };
--- a/src/caller_exchange.hpp
+++ b/src/caller_exchange.hpp
@@ -5,6 +5,7 @@
 #include "gobject_ptr.hpp"
 #include "ids.hpp"
 #include "outbox.hpp"
+#include "time.hpp"
 
 #include <libsoup/soup.h>
 
@@ -40,6 +41,8 @@
     std::string caller;
     /// Number of the request; 0 until the request is submitted to the daemon.
     request_number request;
+    /// Earliest time at which the request can have reached the daemon.
+    instant received_at{};
     /// Bytes of the request body received so far.
     std::int64_t body_bytes = 0;
     /// Key of the engine stream that the answer is read from.
--- a/src/caller_listener.cpp
+++ b/src/caller_listener.cpp
@@ -92,6 +92,7 @@
     auto *message = exchange.message();
     acceptor().set_deadline(server_.connection_of(exchange),
                             limits_.request_timeout);
+    exchange.received_at = loop_.input_since();
     auto const *uri = soup_server_message_get_uri(message);
     bool const health =
         uri != nullptr &&
@@ -279,6 +280,7 @@
     exchange.request = request_number(++last_request_);
     by_request_.emplace(exchange.request, &exchange);
     arrival.request = exchange.request;
+    arrival.received_at = exchange.received_at;
     arrival.class_name = header(exchange.message(), "Agateledge-Class");
     loop_.input().arrivals.push_back(std::move(arrival));
 }
--- a/src/daemon_loop.hpp
+++ b/src/daemon_loop.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_DAEMON_LOOP_HPP
 
 #include "outbox.hpp"
+#include "poll_clock.hpp"
 #include "time.hpp"
 
 #include <functional>
@@ -62,6 +63,9 @@
     /// Installed by the adapters before the main loop runs.
     output_handlers handlers;
 
+    /// @return earliest time at which input that is handled now can have arrived
+    instant input_since() const { return polls_.input_since(); }
+
     /// @return CLOCK_BOOTTIME, which also advances while the host is suspended
     static instant clock_now();
 
@@ -72,6 +76,7 @@
     void dispatch_outbox();
 
     world &state_;
+    poll_clock polls_;
     unsigned idle_source_ = 0;
     unsigned timer_source_ = 0;
 };
--- a/src/inbox.hpp
+++ b/src/inbox.hpp
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
 struct request_arrival
 {
     request_number request;
+    /// Earliest time at which the request can have reached the daemon; the time
+    /// of the tick if not set.
+    std::optional<instant> received_at;
     std::string caller;
     /// Name of the request class; empty selects the service's first class.
     std::string class_name;
--- a/src/proxy_listener.cpp
+++ b/src/proxy_listener.cpp
@@ -39,7 +39,7 @@
     request_number request;
     std::int64_t body_bytes = 0;
     std::int64_t buffered_bytes = 0;
-    instant headers_received_at{};
+    instant received_at{};
     bool answer_complete = false;
     bool paused = false;
     bool streaming = false;
@@ -93,7 +93,7 @@
     auto const &bounds = state_.proxy.routing->limits;
     acceptor().set_deadline(server_->connection_of(item),
                             limits_.request_timeout);
-    item.headers_received_at = daemon_loop::clock_now();
+    item.received_at = loop_.input_since();
     auto *headers = soup_server_message_get_request_headers(message);
     if (request_header_bytes(message) > bounds.max_header_bytes)
     {
@@ -158,7 +158,7 @@
     arrival.request = item.request;
     arrival.content =
         std::make_shared<proxy_request const>(*std::move(request));
-    arrival.received_at = item.headers_received_at;
+    arrival.received_at = item.received_at;
     loop_.input().proxy_arrivals.push_back(std::move(arrival));
 }
 
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -81,6 +81,7 @@
 {
     request_number request;
     proxy_request_ptr content;
+    /// Earliest time at which the request can have reached the daemon.
     instant received_at{};
 };
 
--- a/src/receive_requests.cpp
+++ b/src/receive_requests.cpp
@@ -64,7 +64,7 @@
     request_state state;
     state.kind = kind;
     state.account = account_of(w.config, arrival.caller);
-    state.arrived_at = w.now;
+    state.arrived_at = arrival.received_at.value_or(w.now);
     if (arrival.resume)
     {
         int const shift = w.faults.shift_resume_offset ? 1 : 0;
