Add failing tests for the request limits that instances name

An instance in need names in its replies the requests a second that it takes from all daemons together.

--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -161,6 +161,8 @@
     bool instance_leaves = false;
     /// Time for which the instance asks for no further requests.
     std::optional<duration> retry_after;
+    /// Requests a second that the instance takes from all daemons together.
+    std::optional<double> request_limit;
 };
 
 enum class proxy_event_kind
--- a/test/error/platform_codec_test.cpp
+++ b/test/error/platform_codec_test.cpp
@@ -227,6 +227,31 @@
     EXPECT_FALSE(decoded_head(503, {}).retry_after);
 }
 
+TEST(platform_codec, the_request_limit_of_an_instance_is_a_plain_number)
+{
+    for (auto const &[text, expected] :
+         {std::pair{"3.8", 3.8}, std::pair{" 20 ", 20.0}, std::pair{"0", 0.0},
+          std::pair{"99999999999999999999", 1e6}})
+    {
+        for (int const status : {200, 503})
+        {
+            EXPECT_EQ(
+                decoded_head(status, {{"Server-Limit", text}}).request_limit,
+                expected)
+                << text;
+        }
+    }
+    for (auto const *text : {"", " ", "-1", "+1", "1e2", "nan", "inf", "1,5",
+                             "1.", ".5", "3 a second"})
+    {
+        EXPECT_FALSE(decoded_head(200, {{"Server-Limit", text}}).request_limit)
+            << text;
+    }
+    EXPECT_FALSE(decoded_head(200, {}).request_limit);
+    auto const head = decoded_head(200, {{"Server-Limit", "3.8"}});
+    EXPECT_EQ(value_in(head.headers, "Server-Limit"), "3.8");
+}
+
 TEST(platform_codec, entries_of_another_writer_name_no_instance)
 {
     ASSERT_TRUE(platform::decode_instance("i", entry));
