Keep to the request limits that instances name, together with other daemons

request_limit_table keeps the limit of each incarnation from the head of any reply: an answer, a refusal, a prefill, the head of a stream. A limit ends by the reply to a call that was sent after a reply had named it; an earlier reply neither ends it nor brings it back. Limits are kept apart from the directory, as pauses are.

Each daemon sends one request an interval of (daemons / limit) from a random start, and makes up for at most 0.5 s. It needs no messages, so that daemons that are out of touch keep to it as well. An instance whose next request is not due is no choice, as during a pause; a request waits for the first one that is due, counted behind those that wait before it, or is refused at once. The caches of limited engines are not read.

An instance that takes 8 a second gets 64 or more in 10 s.

--- a/src/incarnation_deadlines.cpp
+++ b/src/incarnation_deadlines.cpp
@@ -13,21 +13,8 @@
 
 using entry = std::pair<instance_incarnation const, instant>;
 
-bool is_same(instance_incarnation const &left, instance_definition const &right)
-{
-    bool const starts_known =
-        left.started_at_ms != 0 && right.started_at_ms != 0;
-    return starts_known ? left.started_at_ms == right.started_at_ms
-                        : left.address == right.address;
-}
-
 } // namespace
 
-instance_incarnation incarnation_of(instance_definition const &instance)
-{
-    return {instance.id, instance.address, instance.started_at_ms};
-}
-
 bool incarnation_deadlines::extend(instance_incarnation const &incarnation,
                                    instant deadline)
 {
@@ -53,7 +40,7 @@
         {instance.id, {}, std::numeric_limits<std::int64_t>::min()});
     for (; place != deadlines_.end() && place->first.id == instance.id; ++place)
     {
-        if (is_same(place->first, instance))
+        if (is_same_incarnation(place->first, instance))
         {
             latest = std::max(latest, std::optional(place->second));
         }
--- a/src/incarnation_deadlines.hpp
+++ b/src/incarnation_deadlines.hpp
@@ -48,9 +48,6 @@
     std::map<instance_incarnation, instant> deadlines_;
 };
 
-/// @return the incarnation that a directory entry describes
-instance_incarnation incarnation_of(instance_definition const &instance);
-
 } // namespace agateledge
 
 #endif
--- a/src/instance_incarnation.hpp
+++ b/src/instance_incarnation.hpp
@@ -8,6 +8,8 @@
 namespace agateledge
 {
 
+struct instance_definition;
+
 /// One start of an instance, as its directory entry describes it.
 struct instance_incarnation
 {
@@ -20,6 +22,15 @@
     auto operator<=>(instance_incarnation const &) const = default;
 };
 
+/// @return the incarnation that a directory entry describes
+instance_incarnation incarnation_of(instance_definition const &instance);
+
+/// @return true when the entry has the incarnation's id and describes the same
+///         start. Without a known start on both sides, incarnations are the
+///         same if their addresses are.
+bool is_same_incarnation(instance_incarnation const &incarnation,
+                         instance_definition const &instance);
+
 } // namespace agateledge
 
 #endif
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -122,6 +122,8 @@
                         .calls_before = instance.open_calls.size(),
                         .background = background,
                         .incarnation = incarnation_of(instance.definition)});
+    proxy.request_limits.record_send(instance.definition, w.now,
+                                     proxy.effective_fleet_size());
     instance.open_calls.insert(attempt);
     instance.add_unread_tokens(choice.prediction.unread_tokens, background);
     instance.cache.record_prompt(request.chain, w.now);
@@ -144,8 +146,14 @@
         static_cast<std::uint64_t>(choice.prediction.unread_tokens);
 }
 
-/// Uncached prompt tokens of this daemon's waiting requests by service.
-using queued_tokens = std::map<std::string, double>;
+/// This daemon's waiting requests by service.
+struct queued_work
+{
+    /// Uncached prompt tokens of the requests that wait for an engine's limit.
+    std::map<std::string, double> tokens;
+    /// Number of requests that wait until an instance takes any.
+    std::map<std::string, int> awaiting_instance;
+};
 
 /// @return prefill throughput of a service, in tokens per millisecond, summed
 ///         over the engines that accept work
@@ -165,10 +173,10 @@
 /// @return time until the engines have prefilled the prompts queued before this
 ///         one, on the assumption that other daemons queue as many as this one
 duration queue_time(world const &w, std::string const &service,
-                    instance_choice const &choice, queued_tokens const &queued)
+                    instance_choice const &choice, queued_work const &queued)
 {
-    auto const found = queued.find(service);
-    if (!choice.full || found == queued.end())
+    auto const found = queued.tokens.find(service);
+    if (!choice.full || found == queued.tokens.end())
     {
         return duration(0);
     }
@@ -192,10 +200,11 @@
                         prefill_tokens_per_ms(w, engine) / 1e3);
 }
 
-void requeue(world &w, proxy_request_state const &request,
-             queued_tokens &queued)
+void requeue(world &w, proxy_request_state const &request, queued_work &queued)
 {
-    queued[request.service] += request.waiting_tokens;
+    queued.tokens[request.service] += request.waiting_tokens;
+    queued.awaiting_instance[request.service] +=
+        request.awaits_instance ? 1 : 0;
     w.proxy.waiting.push_back(request.number);
     wake_at(w, request.not_before);
 }
@@ -212,15 +221,41 @@
                         request.route->stream_idle_timeout());
 }
 
-/// Queues the request until the first pause of an instance ends; fails it when
-/// that is too late, or when no pause is the reason that there is no instance.
-void await_instance(world &w, request_number number, queued_tokens &queued)
+/// @return time until the instances have taken the requests that wait before
+///         this one; 0 when no instance limits its requests
+duration limit_time(world const &w, std::string const &service,
+                    queued_work const &queued)
+{
+    auto const found = queued.awaiting_instance.find(service);
+    if (found == queued.awaiting_instance.end())
+    {
+        return duration(0);
+    }
+    auto const &instances = w.proxy.instances.of_service(service);
+    auto const daemons = w.proxy.effective_fleet_size();
+    auto const per_s = std::accumulate(
+        instances.begin(), instances.end(), 0.0,
+        [&w, daemons](double sum, instance_state const *instance)
+        {
+            auto const share =
+                w.proxy.request_limits.share_of(instance->definition, daemons);
+            return sum + share.value_or(0);
+        });
+    return per_s > 0 ? from_seconds(found->second / per_s) : duration(0);
+}
+
+/// Queues the request until an instance takes it: after the end of a pause that
+/// it asked for, or within its request limit. Fails the request when that is
+/// too late, or when neither is the reason that there is no instance.
+void await_instance(world &w, request_number number, queued_work &queued)
 {
     auto &request = *w.proxy.requests.find(number);
     auto const *next = next_available_instance(w, request.service);
-    bool const paused =
-        next != nullptr && w.proxy.paused_until(next->definition) > w.now;
-    if (!paused)
+    bool const waits =
+        next != nullptr &&
+        std::max(w.proxy.paused_until(next->definition),
+                 w.proxy.within_limit_from(next->definition, w.now)) > w.now;
+    if (!waits)
     {
         fail_proxied_request(w, number,
                              "no instance of the service accepts work");
@@ -228,25 +263,28 @@
     }
     auto const from = available_from(w, *next);
     auto const prediction = predict_first_event(w, request, *next, 0);
-    if (from + prediction.time > event_due(request))
+    if (from + limit_time(w, request.service, queued) + prediction.time >
+        event_due(request))
     {
         fail_proxied_request(w, number,
-                             "the instances of the service have asked for a "
-                             "pause that ends too late");
+                             "the instances of the service take no request "
+                             "early enough");
         return;
     }
+    request.awaits_instance = true;
     request.not_before = std::min(from, w.now + pause_check_interval);
     requeue(w, request, queued);
 }
 
 /// Sends, refuses or queues the request.
-void place(world &w, request_number number, queued_tokens &queued)
+void place(world &w, request_number number, queued_work &queued)
 {
     if (hold_if_suspected(w, number))
     {
         return;
     }
     auto &request = *w.proxy.requests.find(number);
+    request.awaits_instance = false;
     auto const choice = choose_instance(w, request);
     if (!choice)
     {
@@ -287,7 +325,7 @@
         due, {},
         [&w](request_number number)
         { return w.proxy.requests.find(number)->route->priority; });
-    queued_tokens queued;
+    queued_work queued;
     for (auto const number : due)
     {
         auto const &request = *w.proxy.requests.find(number);
--- a/src/poll_caches.cpp
+++ b/src/poll_caches.cpp
@@ -109,6 +109,12 @@
     {
         return;
     }
+    bool const limited =
+        w.proxy.within_limit_from(engine.definition, w.now) != instant{};
+    if (limited)
+    {
+        feed.next_read = std::max(feed.next_read, w.now + read_interval(w));
+    }
     feed.next_read =
         std::max(feed.next_read, w.proxy.paused_until(engine.definition));
     if (feed.next_read > w.now)
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -34,6 +34,8 @@
     std::uint64_t leave_announcements = 0;
     /// Pauses that instances asked for.
     std::uint64_t instance_pauses = 0;
+    /// Request limits that instances began to name.
+    std::uint64_t request_limits = 0;
     /// Reports of other daemons on prompts that crash engines, by result.
     counter_map part_evidence_reports;
     /// Connections that failed as an engine began to answer, by cause.
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -71,6 +71,10 @@
                 static_cast<double>(metrics.leave_announcements));
     write_value(out, "instance_pauses_total", "counter",
                 static_cast<double>(metrics.instance_pauses));
+    write_value(out, "request_limits_total", "counter",
+                static_cast<double>(metrics.request_limits));
+    write_value(out, "limited_instances", "gauge",
+                static_cast<double>(proxy.request_limits.size()));
     write_counters(out, "part_evidence_reports_total", "result",
                    metrics.part_evidence_reports);
     write_counters(out, "connection_failures_total", "cause",
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -10,6 +10,7 @@
 #include "proxy_limits.hpp"
 #include "proxy_metrics.hpp"
 #include "proxy_table.hpp"
+#include "request_limit_table.hpp"
 #include "routing_configuration.hpp"
 #include "row_messages.hpp"
 #include "shared_retry_budget.hpp"
@@ -103,6 +104,8 @@
     /// Instances that asked for no further requests, with the ends of these
     /// pauses.
     incarnation_deadlines paused_instances;
+    /// Request limits that instances name in their replies.
+    request_limit_table request_limits;
     /// Daemons by name, including this one once its row has been read.
     std::map<std::string, daemon_peer> daemons;
     load_exchange_state load;
@@ -143,6 +146,14 @@
         return paused_instances.find(instance).value_or(instant{});
     }
 
+    /// @return time from which the instance takes another request of this
+    ///         daemon, as far as it limits its requests
+    instant within_limit_from(instance_definition const &instance,
+                              instant now) const
+    {
+        return request_limits.next_send(instance, now, effective_fleet_size());
+    }
+
     /// @return number of daemons among which the limits of the deployment are
     ///         divided
     double effective_fleet_size() const
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -55,6 +55,9 @@
     /// Time before which the request is not placed, after a failed call or
     /// because engines were at their concurrency limit.
     instant not_before{};
+    /// The request waits because each instance of its service has asked for a
+    /// pause or has had this daemon's share of its request limit.
+    bool awaits_instance = false;
     /// Prompt tokens that the chosen engine would have had to prefill when the
     /// request was last held back; 0 once it is sent.
     int waiting_tokens = 0;
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -12,6 +12,7 @@
 #include "poll_store.hpp"
 #include "record_instance_pauses.hpp"
 #include "record_leaving_instances.hpp"
+#include "record_request_limits.hpp"
 #include "stop_proxy.hpp"
 #include "track_engine_losses.hpp"
 #include "update_directory.hpp"
@@ -26,6 +27,7 @@
     exchange_loads(w);
     record_leaving_instances(w);
     record_instance_pauses(w);
+    record_request_limits(w);
     advance_proxied_requests(w);
     track_engine_losses(w);
     exchange_part_evidence(w);
