Take a reply with neither length nor chunks nor a body for truncated

Reported by another operator: an engine stopped in the middle of its reply's head and closed; callers got a 200 with an empty body. It could happen here: libsoup reports a head that is cut between two lines as a whole one, and http_call took a reply without a declared length as complete.

Only a body shows that the head had ended. A reply without length, chunks and body now fails the call, at both front doors, which share http_call. Heads that are cut within a line or behind Content-Length failed before.

truncated_reply.a_head_without_its_empty_line_has_failed and an_endpoint_has_not_answered_by_it: answered before, failed after.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -299,7 +299,8 @@
     case SOUP_ENCODING_CHUNKED:
         return !has_own_connection_ || (socket_ && has_last_chunk());
     default:
-        return true;
+        // libsoup also takes a head for whole that was cut between two lines.
+        return body_bytes_ > 0;
     }
 }
 
--- a/test/error/truncated_reply_test.cpp
+++ b/test/error/truncated_reply_test.cpp
@@ -153,10 +153,28 @@
               http_outcome::failed_after_send);
 }
 
-service_reply_kind kind_of_endpoint_reply(std::string const &method)
+// The head may have been cut between two lines; only a body shows its end.
+TEST(truncated_reply, a_head_without_its_empty_line_has_failed)
 {
-    fixed_reply_server const server(std::string(closing_head) + "2\r\n{}\r\n",
-                                    connection_ending::close);
+    for (std::string const lines :
+         {"", "Server-Signature: x\r\n", "Content-Type: text/event-stream\r\n",
+          "Content-Length: 8\r\n", "Transfer-Encoding: chunked\r\n"})
+    {
+        for (auto const ending :
+             {connection_ending::close, connection_ending::reset})
+        {
+            EXPECT_EQ(outcome_of("HTTP/1.1 200 OK\r\n" + lines, ending),
+                      http_outcome::failed_after_send)
+                << lines;
+        }
+    }
+}
+
+service_reply_kind kind_of_endpoint_reply(
+    std::string const &method,
+    std::string const &reply = std::string(closing_head) + "2\r\n{}\r\n")
+{
+    fixed_reply_server const server(reply, connection_ending::close);
     world state({"daemon-1", incarnation_number(1), "zone-a", "127.0.0.1:1"},
                 1);
     daemon_loop loop(state);
@@ -182,6 +200,11 @@
               service_reply_kind::failed_after_send);
     EXPECT_EQ(kind_of_endpoint_reply("GET"),
               service_reply_kind::failed_after_send);
+    std::string const cut_head = "HTTP/1.1 200 OK\r\nServer-Signature: x\r\n";
+    EXPECT_EQ(kind_of_endpoint_reply("POST", cut_head),
+              service_reply_kind::failed_after_send);
+    EXPECT_EQ(kind_of_endpoint_reply("GET", cut_head),
+              service_reply_kind::failed_after_send);
 }
 
 } // namespace
