Send no waiting request after a planned stop has closed admission

Reported by another operator: late in the grace of a planned stop, requests were passed on and then cut, among them some that may not be repeated. Arrivals were refused here from 3 s after the signal, but requests that had come before and waited, for the end of a pause, were still sent until the end of the grace and then failed with an unknown end.

Requests that have not run and wait when admission closes are refused as not run, with a Retry-After of up to 0.2 s. Requests whose prompt has been read, and those that may be sent again, go on.

proxy_stop.a_request_that_waits_is_not_sent_after_admission_has_ended: calls after the end of admission and no refusal before; two refusals and no call after.

--- a/src/admit_proxied_requests.cpp
+++ b/src/admit_proxied_requests.cpp
@@ -2,6 +2,7 @@
 
 #include "log_proxied_request.hpp"
 #include "proxy_lifecycle.hpp"
+#include "stop_proxy.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -14,14 +15,6 @@
 namespace
 {
 
-/// Time after the shutdown signal during which requests are still admitted.
-/// Requests admitted later might not finish before the process is killed.
-constexpr duration shutdown_admission_time = seconds(3);
-
-/// Retry-after time of requests refused during shutdown; the retry reaches
-/// another daemon.
-constexpr duration stopping_retry_after = milliseconds(200);
-
 /// Retry-after time of requests that arrive before the configuration.
 constexpr duration unready_retry_after = milliseconds(500);
 
@@ -52,12 +45,6 @@
     return {w.proxy.routing, route};
 }
 
-bool admission_closed(world const &w)
-{
-    auto const &since = w.proxy.stopping_since;
-    return since && w.now - *since > shutdown_admission_time;
-}
-
 void admit(world &w, proxy_arrival const &arrival)
 {
     proxy_request_state entry;
@@ -82,9 +69,7 @@
     }
     if (admission_closed(w))
     {
-        refuse_proxied_request(w, arrival.request, result_code::daemon_draining,
-                               "the daemon is shutting down",
-                               spread_retry_after(w, stopping_retry_after));
+        refuse_while_stopping(w, arrival.request);
         return;
     }
     auto const &route = *request.route;
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -6,6 +6,7 @@
 #include "log_proxied_request.hpp"
 #include "next_available_instance.hpp"
 #include "proxy_lifecycle.hpp"
+#include "stop_proxy.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -284,6 +285,12 @@
         return;
     }
     auto &request = *w.proxy.requests.find(number);
+    bool const is_unsent = request.runs == 0 && !request.retained_prefill;
+    if (is_unsent && admission_closed(w))
+    {
+        refuse_while_stopping(w, number);
+        return;
+    }
     request.awaits_instance = false;
     auto const choice = choose_instance(w, request);
     if (!choice)
--- a/src/stop_proxy.cpp
+++ b/src/stop_proxy.cpp
@@ -13,6 +13,13 @@
 namespace
 {
 
+/// Time after the shutdown signal during which requests are still admitted and
+/// sent to instances. Later ones might not finish before the process is killed.
+constexpr duration shutdown_admission_time = seconds(3);
+
+/// Maximum Retry-After time of requests that are refused during shutdown.
+constexpr duration stopping_retry_after = milliseconds(200);
+
 constexpr duration check_interval = milliseconds(50);
 
 /// Minimum time for which the daemon serves after the shutdown signal: the load
@@ -41,6 +48,19 @@
 
 } // namespace
 
+bool admission_closed(world const &w)
+{
+    auto const &since = w.proxy.stopping_since;
+    return since && w.now - *since > shutdown_admission_time;
+}
+
+void refuse_while_stopping(world &w, request_number number)
+{
+    refuse_proxied_request(w, number, result_code::daemon_draining,
+                           "the daemon is shutting down",
+                           spread_retry_after(w, stopping_retry_after));
+}
+
 void stop_proxy(world &w)
 {
     auto &proxy = w.proxy;
--- a/test/correctness/proxy_stop_test.cpp
+++ b/test/correctness/proxy_stop_test.cpp
@@ -46,4 +46,30 @@
     EXPECT_TRUE(daemon.advance(seconds(2)).shutdown_complete);
 }
 
+TEST(proxy_stop, a_request_that_waits_is_not_sent_after_admission_has_ended)
+{
+    proxy_fixture daemon;
+    daemon.list_endpoints(1);
+    daemon.send("/look/1");
+    auto const first = daemon.advance(milliseconds(10)).proxy_calls;
+    ASSERT_EQ(first.size(), 1U);
+    proxy_reply_head pause;
+    pause.status = 503;
+    pause.not_run = true;
+    pause.retry_after = milliseconds(4200);
+    daemon.reply_head(first.front().attempt, pause);
+    daemon.advance(milliseconds(10));
+    daemon.state.in.shutdown = true;
+    daemon.send("/book/1");
+    daemon.advance(milliseconds(2900));
+    auto const out = daemon.advance(seconds(2));
+    EXPECT_TRUE(out.proxy_calls.empty());
+    ASSERT_EQ(out.proxy_answers.size(), 2U);
+    for (auto const &answer : out.proxy_answers)
+    {
+        EXPECT_EQ(answer.code, result_code::daemon_draining);
+        EXPECT_TRUE(answer.retry_after.has_value());
+    }
+}
+
 } // namespace
