--- a/test/correctness/proxy_limit_test.cpp
+++ b/test/correctness/proxy_limit_test.cpp
@@ -147,7 +147,7 @@
 
 TEST(proxy_limit, the_daemons_together_keep_to_the_limit_of_an_instance)
 {
-    for (int const daemons : {1, 5, 29})
+    for (int const daemons : {1, 4, 5, 12, 29})
     {
         for (double const limit : {0.0, 0.4, 3.8, 18.3})
         {
