Close the connection of a request that the gate refuses in a planned stop

A refusal of the gate left the caller's connection open while the daemon was stopping; other answers announce the close then. Found by reading the change.

--- a/src/proxy_listener.cpp
+++ b/src/proxy_listener.cpp
@@ -132,6 +132,7 @@
     answer.message = "the processor of the daemon is saturated";
     answer.retry_after = from_seconds(to_seconds(overload_retry_after) *
                                       (0.5 + 0.5 * random_.uniform()));
+    answer.close_connection = state_.proxy.stopping_since.has_value();
     refuse(item, answer);
 }
 
