Test over sockets that a saturated daemon refuses as not run

saturated_loop.requests_that_are_not_admitted_are_refused_as_not_run: after 3 s of iterations of 30 ms, at least half of 20 bookings get a 503 with a Retry-After below a second, and none of these reaches the endpoint.

--- a/test/error/saturated_loop_test.cpp
+++ b/test/error/saturated_loop_test.cpp
@@ -105,4 +105,35 @@
     EXPECT_EQ(daemon.calls(), 0);
 }
 
+TEST_F(saturated_loop, requests_that_are_not_admitted_are_refused_as_not_run)
+{
+    constexpr int caller_count = 20;
+    slow_loop const slow(milliseconds(30));
+    run_main_context_until([] { return false; }, seconds(3));
+    std::vector<std::unique_ptr<raw_client>> callers;
+    for (int i = 0; i < caller_count; ++i)
+    {
+        callers.push_back(std::make_unique<raw_client>(daemon.port()));
+        send_booking(*callers.back(), i);
+    }
+    run_main_context_until(
+        [&callers]
+        {
+            return std::ranges::all_of(callers, [](auto const &caller)
+                                       { return has_final_answer(*caller); });
+        },
+        route_timeout + answer_slack);
+    auto const refused = std::ranges::count_if(
+        callers,
+        [](auto const &caller)
+        {
+            auto const &text = caller->received;
+            return text.starts_with("HTTP/1.1 503 ") &&
+                   text.find("Retry-After: 0.") != std::string::npos &&
+                   text.find("queue_full") != std::string::npos;
+        });
+    EXPECT_GE(refused, caller_count / 2);
+    EXPECT_LE(daemon.calls(), caller_count - refused);
+}
+
 } // namespace
