--- a/review/support.py
+++ b/review/support.py
@@ -454,4 +454,5 @@
             return 0, [], b"", False
 
     def close(self):
+        self.stream.close()
         self.socket.close()
