Bound interim heads, and read callers' connections in turns

Cause: libsoup reads in one dispatch until a read would block, and all limits of a call are timers of the loop that it keeps busy.

Change: a reply has at most 128 interim heads, and 100 KiB of heads in all; both are counts. guarded_stream makes libsoup return to the main loop after 64 KiB of a caller's bytes, at both front doors. fixed_reply_server repeats more than one byte, and ends after 256 MiB, so that a test fails and does not block.

--- a/harness/fixed_reply_server.cpp
+++ b/harness/fixed_reply_server.cpp
@@ -16,10 +16,11 @@
 namespace
 {
 
-/// Number of bytes at the end of the reply that an endless reply repeats.
-constexpr std::size_t repeated_bytes = 1;
 /// Bytes per send call of an endless reply.
 constexpr std::size_t block_bytes = 65536;
+/// Size at which an endless reply ends, so that a caller that reads all of it
+/// fails its test instead of blocking it.
+constexpr std::size_t max_endless_bytes = std::size_t{256} << 20;
 
 sockaddr_in loopback()
 {
@@ -32,8 +33,10 @@
 } // namespace
 
 fixed_reply_server::fixed_reply_server(std::string reply,
-                                       connection_ending ending)
+                                       connection_ending ending,
+                                       std::size_t repeated_bytes)
     : reply_(std::move(reply)), ending_(ending),
+      repeated_bytes_(repeated_bytes),
       listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     auto const address = loopback();
@@ -67,7 +70,7 @@
 
 void fixed_reply_server::send_endless_reply()
 {
-    auto const tail = reply_.substr(reply_.size() - repeated_bytes);
+    auto const tail = reply_.substr(reply_.size() - repeated_bytes_);
     std::string filler;
     while (filler.size() < block_bytes)
     {
@@ -76,10 +79,12 @@
     timeval const send_timeout{0, 100'000};
     setsockopt(connection_, SOL_SOCKET, SO_SNDTIMEO, &send_timeout,
                sizeof(send_timeout));
-    while (!stopping_)
+    while (!stopping_ && bytes_sent_ < max_endless_bytes)
     {
-        auto const sent =
-            send(connection_, filler.data(), filler.size(), MSG_NOSIGNAL);
+        // A partial send is continued, so that the repeated bytes stay whole.
+        auto const begin = bytes_sent_ % filler.size();
+        auto const sent = send(connection_, filler.data() + begin,
+                               filler.size() - begin, MSG_NOSIGNAL);
         if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
         {
             closed_by_caller_ = true;
--- a/harness/fixed_reply_server.hpp
+++ b/harness/fixed_reply_server.hpp
@@ -15,7 +15,8 @@
     keep_open,
     close,
     reset,
-    /// Repeats the last byte of the reply until the caller closes.
+    /// Repeats the end of the reply until the caller closes, or up to a limit
+    /// that no caller should reach.
     endless,
 };
 
@@ -26,7 +27,10 @@
 class fixed_reply_server
 {
 public:
-    fixed_reply_server(std::string reply, connection_ending ending);
+    /// @param repeated_bytes number of bytes at the end of the reply that an
+    ///        endless reply repeats
+    fixed_reply_server(std::string reply, connection_ending ending,
+                       std::size_t repeated_bytes = 1);
     ~fixed_reply_server();
     fixed_reply_server(fixed_reply_server const &) = delete;
     fixed_reply_server &operator=(fixed_reply_server const &) = delete;
@@ -46,6 +50,7 @@
 
     std::string reply_;
     connection_ending ending_;
+    std::size_t repeated_bytes_;
     int listener_ = -1;
     int connection_ = -1;
     std::atomic<std::size_t> bytes_sent_ = 0;
--- a/src/guarded_stream.cpp
+++ b/src/guarded_stream.cpp
@@ -18,6 +18,10 @@
 
 constexpr std::size_t read_buffer_bytes = std::size_t{8} * 1024;
 
+/// Maximum number of bytes that are read in a row; libsoup reads in one
+/// dispatch until a read would block.
+constexpr std::size_t max_burst_bytes = std::size_t{64} * 1024;
+
 constexpr std::string_view bad_request_answer =
     "HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
     "Content-Length: 0\r\n\r\n";
@@ -30,6 +34,7 @@
     /// Checked bytes that were not read yet.
     std::string ready;
     std::size_t ready_begin = 0;
+    std::size_t burst_bytes = 0;
     bool answered_fault = false;
 
     GInputStream *input() const
@@ -77,14 +82,23 @@
             {
                 return fail(error);
             }
+            if (!blocking && burst_bytes >= max_burst_bytes)
+            {
+                burst_bytes = 0;
+                g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK,
+                                    "other connections are read first");
+                return -1;
+            }
             std::array<char, read_buffer_bytes> bytes;
             auto const count =
                 g_pollable_stream_read(input(), bytes.data(), bytes.size(),
                                        blocking, cancellable, error);
             if (count <= 0)
             {
+                burst_bytes = 0;
                 return count;
             }
+            burst_bytes += static_cast<std::size_t>(count);
             framing.add({bytes.data(), static_cast<std::size_t>(count)}, ready);
         }
         return take(buffer, size);
--- a/src/reply_parser.cpp
+++ b/src/reply_parser.cpp
@@ -16,10 +16,14 @@
 using beast_error = boost::beast::error_code;
 using beast_text = boost::beast::string_view;
 
-/// Maximum size of a status line with its headers, and of the bytes that the
-/// parser must see at once: a chunk header, or the trailers.
+/// Maximum size of all heads of a reply, and of the bytes that the parser must
+/// see at once: a chunk header, or the trailers.
 constexpr std::uint32_t max_head_bytes = std::uint32_t{100} * 1024;
 
+/// Maximum number of interim heads (1xx) before the final one. Servers that
+/// report progress send one every few seconds at most.
+constexpr int max_interim_heads = 128;
+
 constexpr int first_final_status = 200;
 
 std::string_view view_of(beast_text text)
@@ -122,7 +126,16 @@
 void reply_parser::begin_message()
 {
     message_ = std::make_unique<message>(head_request_, handlers_);
-    head_bytes_ = 0;
+}
+
+void reply_parser::skip_interim_head()
+{
+    if (++interim_heads_ > max_interim_heads)
+    {
+        progress_ = reply_progress::malformed;
+        return;
+    }
+    begin_message();
 }
 
 std::size_t reply_parser::parse(std::string_view bytes)
@@ -150,7 +163,7 @@
         }
         else if (message_->is_done())
         {
-            begin_message();
+            skip_interim_head();
         }
     }
     return parsed;
--- a/src/reply_parser.hpp
+++ b/src/reply_parser.hpp
@@ -26,9 +26,9 @@
 };
 
 /// Strict incremental parser of the reply to one HTTP request. Interim replies
-/// (1xx) before the final one are skipped. The end of a body is never inferred:
-/// it is its declared length, the last chunk with its trailers, or, without
-/// either, the end of the connection.
+/// (1xx) before the final one are skipped, up to a limit. The end of a body is
+/// never inferred: it is its declared length, the last chunk with its trailers,
+/// or, without either, the end of the connection.
 class reply_parser
 {
 public:
@@ -66,14 +66,16 @@
 
     std::size_t parse(std::string_view bytes);
     void begin_message();
+    void skip_interim_head();
 
     bool head_request_;
     hooks handlers_;
     std::unique_ptr<message> message_;
     /// Received bytes that the parser could not interpret yet.
     std::string pending_;
-    /// Bytes of the current head.
+    /// Bytes of all heads of the reply.
     std::size_t head_bytes_ = 0;
+    int interim_heads_ = 0;
     reply_progress progress_ = reply_progress::incomplete;
 };
 
