Bound the memory of messages that are kept until they are complete

Reported by operators of similar systems: a faulty engine sends a body without end, the daemon keeps it and runs out of memory, and its other callers lose their requests.

Cause: each message is bounded (16 MiB), their sum was not. The same for replies that a client collects (store, caches, loads, bookings of the own interface), and for requests that callers are sending.

Change: the sums have limits taken from limits.memory_mb (256 where missing). choose_messages_to_drop decides what goes: messages without a declared length first, then the largest of the sender that takes the most, so that a faulty server displaces its own answers. A booking whose answer is given up is answered 502; a request that is given up while it is being sent is refused as not run. Bodies of errors are limited to 256 KiB. block_text replaces strings that reserve twice their size. Listeners of peers, operators, readiness and metrics bound the bodies that they receive to 16 MiB in all.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -1,5 +1,6 @@
 #include "advance_proxied_requests.hpp"
 
+#include "choose_calls_over_memory.hpp"
 #include "event_number.hpp"
 #include "extract_new_events.hpp"
 #include "log_proxied_request.hpp"
@@ -29,6 +30,9 @@
 /// Maximum size of an answer that is buffered before it is forwarded.
 constexpr std::size_t max_answer_bytes = std::size_t{16} << 20;
 
+/// Maximum size of the body of an error reply.
+constexpr std::size_t max_error_bytes = std::size_t{256} << 10;
+
 /// Maximum size of one event of a stream.
 constexpr std::size_t max_event_bytes = std::size_t{1} << 20;
 
@@ -119,7 +123,7 @@
     }
     request->head.reset();
     request->body.clear();
-    request->partial_event.clear();
+    request->partial_event = std::string();
     if (may_send_again(*request) &&
         retry_proxied_request(w, *request, arrived, pause, reason))
     {
@@ -347,10 +351,13 @@
     }
     else
     {
-        request->body += bytes;
+        request->body.append(bytes);
     }
+    w.proxy.reply_memory.received_bytes += bytes.size();
+    auto const max_body_bytes =
+        is_success(request->head->status) ? max_answer_bytes : max_error_bytes;
     if (request->partial_event.size() > max_event_bytes ||
-        request->body.size() > max_answer_bytes)
+        request->body.size() > max_body_bytes)
     {
         handle_call_failure(w, attempt, true,
                             "the reply exceeds the size limit");
@@ -375,7 +382,7 @@
     answer.kind = proxy_answer_kind::complete;
     answer.status = request.head->status;
     answer.headers = request.head->headers;
-    answer.bytes = std::move(request.body);
+    answer.bytes = request.body.take();
     answer.close_connection = w.proxy.stopping_since.has_value();
     bool const success = is_success(answer.status);
     w.out.proxy_answers.push_back(std::move(answer));
@@ -547,6 +554,18 @@
                        {{"instance", request->retained_prefill->instance}});
 }
 
+void drop_replies_over_memory(world &w)
+{
+    std::ranges::for_each(choose_calls_over_memory(w),
+                          [&w](attempt_number number)
+                          {
+                              ++w.proxy.metrics.dropped_replies;
+                              handle_call_failure(
+                                  w, *w.proxy.requests.find(number), true,
+                                  "the memory for replies is used up");
+                          });
+}
+
 } // namespace
 
 void advance_proxied_requests(world &w)
@@ -556,6 +575,7 @@
     std::ranges::for_each(w.in.prefill_results,
                           [&w](prefill_result const &result)
                           { handle_prefill_result(w, result); });
+    drop_replies_over_memory(w);
 }
 
 } // namespace agateledge
--- a/src/caller_listener.cpp
+++ b/src/caller_listener.cpp
@@ -73,6 +73,11 @@
     { count_body(exchange, bytes); };
     handlers.on_request = [this](caller_exchange &exchange, char const *path)
     { route(exchange, path); };
+    handlers.on_memory_exhausted = [](caller_exchange &exchange)
+    {
+        exchange.refuse(result_code::queue_full,
+                        "the memory for requests is used up");
+    };
     handlers.on_written = [this](caller_exchange &exchange, std::int64_t bytes)
     { record_written(exchange, bytes); };
     handlers.on_peer_closed = [this](caller_exchange &exchange)
--- a/src/daemon_process.cpp
+++ b/src/daemon_process.cpp
@@ -26,6 +26,7 @@
                                std::uint64_t seed)
     : config_(std::move(config)),
       state_(identity_of(config_, incarnation), seed), loop_(state_),
+      http_(connection_reuse::keep_alive, config_.limits.memory.answer_bytes()),
       callers_(state_, loop_, request_keys_, config_.limits),
       engines_(http_, loop_), poller_(state_, http_, loop_),
       services_(http_, loop_),
--- a/src/exchange_server.hpp
+++ b/src/exchange_server.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_EXCHANGE_SERVER_HPP
 #define AGATELEDGE_EXCHANGE_SERVER_HPP
 
+#include "choose_messages_to_drop.hpp"
 #include "connection_acceptor.hpp"
 #include "gobject_ptr.hpp"
 #include "server_message.hpp"
@@ -9,10 +10,14 @@
 
 #include <libsoup/soup.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 namespace agateledge
 {
@@ -39,6 +44,9 @@
         /// The request was received completely; called with its path, still
         /// escaped.
         std::function<void(Exchange &, char const *)> on_request;
+        /// Bodies of requests take too much memory, and this one was chosen
+        /// to be refused; what is received of it is discarded.
+        std::function<void(Exchange &)> on_memory_exhausted;
         /// Bytes of the answer were written to the connection.
         std::function<void(Exchange &, std::int64_t)> on_written;
         /// The caller closed its side of the connection.
@@ -53,7 +61,8 @@
     exchange_server(char const *server_header, listener_limits limits)
         : server_(soup_server_new("server-header", server_header, "raw-paths",
                                   TRUE, nullptr)),
-          acceptor_(server_.get(), limits)
+          acceptor_(server_.get(), limits),
+          max_received_bytes_(limits.memory.request_bytes())
     {
         g_signal_connect(server_.get(), "request-started", G_CALLBACK(started),
                          this);
@@ -97,6 +106,11 @@
     {
         constexpr std::int64_t discarded_body_factor = 4;
         exchange.body_bytes += bytes;
+        uncounted_bytes_ += static_cast<std::size_t>(bytes);
+        if (counted_bytes_ + uncounted_bytes_ > max_received_bytes_)
+        {
+            refuse_over_memory();
+        }
         if (exchange.body_bytes > max_bytes && !exchange.answered())
         {
             discard_request_body(exchange.message());
@@ -154,9 +168,11 @@
     static void handle(SoupServer *, SoupServerMessage *message,
                        char const *path, GHashTable *, gpointer self)
     {
-        if (auto *exchange = server_of(self).find(message))
+        auto &server = server_of(self);
+        if (auto *exchange = server.find(message))
         {
-            server_of(self).handlers.on_request(*exchange, path);
+            server.receiving_.erase(message);
+            server.handlers.on_request(*exchange, path);
         }
     }
 
@@ -169,6 +185,7 @@
     void begin(SoupServerMessage *message)
     {
         exchanges_.emplace(message, std::make_unique<Exchange>(message));
+        receiving_.insert(message);
         by_connection_.insert_or_assign(
             soup_server_message_get_remote_address(message), message);
         g_signal_connect(message, "got-headers", G_CALLBACK(got_headers), this);
@@ -195,6 +212,7 @@
             by_connection_.erase(connection);
         }
         g_signal_handlers_disconnect_by_data(message, this);
+        receiving_.erase(message);
         exchanges_.erase(found);
     }
 
@@ -209,8 +227,46 @@
         }
     }
 
+    /// Counts the bodies that are being received, and refuses requests while
+    /// they take more memory than allowed.
+    void refuse_over_memory()
+    {
+        std::vector<Exchange *> exchanges;
+        std::vector<held_message> messages;
+        counted_bytes_ = 0;
+        uncounted_bytes_ = 0;
+        for (auto *message : receiving_)
+        {
+            auto *exchange = find(message);
+            if (exchange->answered())
+            {
+                continue;
+            }
+            auto const bytes = static_cast<std::size_t>(exchange->body_bytes);
+            counted_bytes_ += bytes;
+            exchanges.push_back(exchange);
+            messages.push_back(
+                {remote_host(message), bytes, has_declared_length(message)});
+        }
+        std::ranges::for_each(
+            choose_messages_to_drop(messages, max_received_bytes_),
+            [&](std::size_t index)
+            {
+                auto &exchange = *exchanges.at(index);
+                discard_request_body(exchange.message());
+                handlers.on_memory_exhausted(exchange);
+                close_after_answer(exchange.message());
+            });
+    }
+
     gobject_ptr<SoupServer> server_;
     connection_acceptor acceptor_;
+    std::size_t max_received_bytes_;
+    /// Bytes of the bodies that were being received at the last count, and
+    /// bytes received since then.
+    std::size_t counted_bytes_ = 0;
+    std::size_t uncounted_bytes_ = 0;
+    std::unordered_set<SoupServerMessage *> receiving_;
     std::unordered_map<SoupServerMessage *, std::unique_ptr<Exchange>>
         exchanges_;
     std::unordered_map<connection_acceptor::connection_key, SoupServerMessage *>
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -3,11 +3,13 @@
 
 #include "http_call.hpp"
 #include "kept_connections.hpp"
+#include "memory_limits.hpp"
 
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 
 namespace agateledge
@@ -42,7 +44,11 @@
 public:
     /// @param reuse whether connections are reused; calls can opt out by
     ///        `http_request::new_connection`
-    explicit http_client(connection_reuse reuse = connection_reuse::keep_alive);
+    /// @param max_collected_bytes limit of all replies that are collected at
+    ///        the same time
+    explicit http_client(
+        connection_reuse reuse = connection_reuse::keep_alive,
+        std::size_t max_collected_bytes = memory_limits().reply_bytes());
     ~http_client();
     http_client(http_client const &) = delete;
     http_client &operator=(http_client const &) = delete;
@@ -55,8 +61,8 @@
     void cancel(std::shared_ptr<http_call> const &call);
 
     /// Starts a call and collects its reply. A reply longer than
-    /// `max_reply_bytes` ends with `failed_after_send`, and its connection is
-    /// closed.
+    /// `max_reply_bytes`, or chosen because all replies together take too much
+    /// memory, ends with `failed_after_send`, and its connection is closed.
     ///
     /// @param on_reply runs once, unless the client is destroyed first
     void send(http_request const &request,
@@ -65,8 +71,19 @@
     static constexpr std::size_t max_reply_bytes = std::size_t{16} << 20;
 
 private:
+    struct collected_reply;
+    using collected_ptr = std::shared_ptr<collected_reply>;
+
+    void collect(collected_ptr const &item, std::string_view bytes);
+    void drop(collected_ptr const &item);
+    void drop_over_limit();
+    void end(collected_ptr const &item, http_outcome outcome);
+
     connection_reuse reuse_;
+    std::size_t max_collected_bytes_;
+    std::size_t collected_bytes_ = 0;
     kept_connections kept_;
+    std::unordered_set<collected_ptr> collected_;
     std::unordered_set<std::shared_ptr<http_call>> open_calls_;
 };
 
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -5,9 +5,11 @@
 
 #include <libsoup/soup.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 namespace agateledge
 {
@@ -15,7 +17,8 @@
 class http_exchange;
 
 /// HTTP server on the default GLib main context, for internal endpoints and the
-/// stand-ins.
+/// stand-ins. Connections whose request bodies take too much memory, alone or
+/// together, are closed.
 class http_server
 {
 public:
@@ -41,7 +44,14 @@
     std::string address() const;
 
 private:
+    struct callbacks;
+
+    void check_memory();
+
     SoupServer *server_;
+    /// Requests that are open, with the bytes received of their bodies.
+    std::unordered_map<SoupServerMessage *, std::size_t> open_;
+    std::size_t body_bytes_ = 0;
 };
 
 } // namespace agateledge
--- a/src/load_settings.cpp
+++ b/src/load_settings.cpp
@@ -102,6 +102,7 @@
     reader.read("max_connections", out.max_connections, 1, max_count);
     reader.read_milliseconds("request_timeout_ms", out.request_timeout);
     reader.read("max_buffered_bytes", out.max_buffered_bytes, 1024, max_bytes);
+    reader.read_megabytes("memory_mb", out.memory.host_bytes);
     reader.report_unknown_keys();
 }
 
--- a/src/proxy_limits.hpp
+++ b/src/proxy_limits.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_PROXY_LIMITS_HPP
 #define AGATELEDGE_PROXY_LIMITS_HPP
 
+#include "memory_limits.hpp"
 #include "shared_retry_budget.hpp"
 #include "time.hpp"
 
@@ -22,6 +23,7 @@
     /// Maximum time in which a daemon whose connections stopped responding must
     /// know the state of the store again.
     duration reconnect_bound = seconds(3);
+    memory_limits memory;
 
     auto operator<=>(proxy_limits const &) const = default;
 };
--- a/src/proxy_listener.cpp
+++ b/src/proxy_listener.cpp
@@ -73,6 +73,8 @@
     { count_body(item, bytes); };
     handlers.on_request = [this](exchange &item, char const *path)
     { accept_request(item, path); };
+    handlers.on_memory_exhausted = [this](exchange &item)
+    { refuse_overload(item, "the memory for requests is used up"); };
     handlers.on_written = [this](exchange &item, std::int64_t bytes)
     { record_written(item, bytes); };
     handlers.on_peer_closed = [this](exchange &item)
@@ -119,17 +121,17 @@
     if (admits_request && !admits_request())
     {
         discard_request_body(message);
-        refuse_overload(item);
+        refuse_overload(item, "the processor of the daemon is saturated");
     }
 }
 
-void proxy_listener::refuse_overload(exchange &item)
+void proxy_listener::refuse_overload(exchange &item, std::string const &reason)
 {
     proxy_answer answer;
     answer.kind = proxy_answer_kind::refused;
     answer.status = http_status(result_code::queue_full);
     answer.code = result_code::queue_full;
-    answer.message = "the processor of the daemon is saturated";
+    answer.message = reason;
     answer.retry_after = from_seconds(to_seconds(overload_retry_after) *
                                       (0.5 + 0.5 * random_.uniform()));
     answer.close_connection = state_.proxy.stopping_since.has_value();
--- a/src/proxy_listener.hpp
+++ b/src/proxy_listener.hpp
@@ -63,7 +63,7 @@
     void count_body(exchange &item, std::int64_t bytes);
     void accept_request(exchange &item, std::string const &path);
     void refuse(exchange &item, proxy_answer const &answer);
-    void refuse_overload(exchange &item);
+    void refuse_overload(exchange &item, std::string const &reason);
     void refuse(exchange &item, result_code code, std::string const &message);
     void send_complete(exchange &item, proxy_answer const &answer,
                        header_list const &headers, std::string const &body);
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -47,6 +47,8 @@
     std::uint64_t truncated_replies = 0;
     /// Calls whose reply is not a valid HTTP message.
     std::uint64_t malformed_replies = 0;
+    /// Calls that were given up because replies took too much memory.
+    std::uint64_t dropped_replies = 0;
     std::uint64_t resumed_streams = 0;
     std::uint64_t prefill_handovers = 0;
     /// Prompt tokens that were predicted to be cached and to be prefilled.
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -92,6 +92,8 @@
                 static_cast<double>(metrics.truncated_replies));
     write_value(out, "malformed_replies_total", "counter",
                 static_cast<double>(metrics.malformed_replies));
+    write_value(out, "dropped_replies_total", "counter",
+                static_cast<double>(metrics.dropped_replies));
     write_value(out, "resumed_streams_total", "counter",
                 static_cast<double>(metrics.resumed_streams));
     write_value(out, "prefill_handovers_total", "counter",
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -41,6 +41,7 @@
         std::max(1, (config.max_descriptors - reserved_descriptors) /
                         descriptors_per_request);
     out.request_timeout = body_timeout;
+    out.memory = config.limits.memory;
     return out;
 }
 
@@ -54,8 +55,10 @@
       state_({config_.name, incarnation, config_.data_centre,
               config_.caller_address},
              seed),
-      loop_(state_), instance_http_(connection_reuse::single_call),
-      gate_random_(seed), callers_(state_, loop_, codec_, limits_of(config_)),
+      loop_(state_),
+      http_(connection_reuse::keep_alive, config_.limits.memory.reply_bytes()),
+      instance_http_(connection_reuse::single_call), gate_random_(seed),
+      callers_(state_, loop_, codec_, limits_of(config_)),
       instances_(instance_http_, loop_, codec_), caches_(http_, loop_, codec_),
       rows_(http_, loop_, codec_, config_.store_address)
 {
--- a/src/proxy_settings.cpp
+++ b/src/proxy_settings.cpp
@@ -52,6 +52,7 @@
     auto reader = root.subtable(*table, "limits");
     reader.read("max_descriptors", out.max_descriptors, 64,
                 max_descriptors_limit);
+    reader.read_megabytes("memory_mb", out.limits.memory.host_bytes);
     reader.read_seconds("shutdown_grace_s", out.limits.shutdown_grace);
     reader.read_milliseconds("drain_bound_ms", out.limits.drain_bound);
     reader.read_milliseconds("reconnect_bound_ms", out.limits.reconnect_bound);
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -10,6 +10,7 @@
 #include "proxy_limits.hpp"
 #include "proxy_metrics.hpp"
 #include "proxy_table.hpp"
+#include "reply_memory.hpp"
 #include "request_limit_table.hpp"
 #include "routing_configuration.hpp"
 #include "row_messages.hpp"
@@ -121,6 +122,7 @@
     /// Estimated time between two events of a stream at an engine that
     /// prefills nothing meanwhile, by service.
     std::map<std::string, duration> event_times;
+    struct reply_memory reply_memory;
     proxy_metrics metrics;
     std::optional<instant> stopping_since;
     /// Last time at which a request was open during shutdown.
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_PROXY_TABLE_HPP
 #define AGATELEDGE_PROXY_TABLE_HPP
 
+#include "block_text.hpp"
 #include "ids.hpp"
 #include "instance_incarnation.hpp"
 #include "outbox.hpp"
@@ -81,7 +82,7 @@
     /// Head of the reply, and the body of a reply that is forwarded when it is
     /// complete.
     std::shared_ptr<proxy_reply_head const> head;
-    std::string body;
+    block_text body;
     std::optional<instant> first_sent_at;
     std::optional<instant> first_event_at;
     /// Arrival of the last events of a stream, and the maximum time between two
--- a/src/server_message.cpp
+++ b/src/server_message.cpp
@@ -36,10 +36,24 @@
     return text;
 }
 
+std::string remote_host(SoupServerMessage *message)
+{
+    auto const *host = soup_server_message_get_remote_host(message);
+    return host == nullptr ? std::string() : std::string(host);
+}
+
+bool has_declared_length(SoupServerMessage *message)
+{
+    return soup_message_headers_get_encoding(
+               soup_server_message_get_request_headers(message)) ==
+           SOUP_ENCODING_CONTENT_LENGTH;
+}
+
 void discard_request_body(SoupServerMessage *message)
 {
-    soup_message_body_set_accumulate(
-        soup_server_message_get_request_body(message), FALSE);
+    auto *body = soup_server_message_get_request_body(message);
+    soup_message_body_set_accumulate(body, FALSE);
+    soup_message_body_truncate(body);
 }
 
 void close_after_answer(SoupServerMessage *message)
--- a/src/server_message.hpp
+++ b/src/server_message.hpp
@@ -19,7 +19,13 @@
 /// @return body of a request that was received completely
 std::string request_body(SoupServerMessage *message);
 
-/// Discards the part of the request body that has not been received yet.
+/// @return IP address of the client
+std::string remote_host(SoupServerMessage *message);
+
+/// @return true when the length of the request body was declared
+bool has_declared_length(SoupServerMessage *message);
+
+/// Discards the request body, both what was received and what follows.
 void discard_request_body(SoupServerMessage *message);
 
 /// Closes the connection after the answer, announced by "Connection: close".
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_SETTINGS_HPP
 
 #include "configuration.hpp"
+#include "memory_limits.hpp"
 #include "time.hpp"
 
 #include <compare>
@@ -52,6 +53,7 @@
     /// Answer bytes buffered for a slow caller before the daemon stops reading
     /// from the engine.
     std::int64_t max_buffered_bytes = 64 * 1024;
+    memory_limits memory;
 
     auto operator<=>(listener_limits const &) const = default;
 };
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -192,6 +192,16 @@
     value = *number;
 }
 
+void settings_reader::read_megabytes(char const *key, std::size_t &bytes)
+{
+    constexpr unsigned mebibyte_bits = 20;
+    constexpr std::int64_t min = 64;
+    constexpr std::int64_t max = std::int64_t{1} << 20;
+    auto number = static_cast<std::int64_t>(bytes >> mebibyte_bits);
+    read(key, number, min, max);
+    bytes = static_cast<std::size_t>(number) << mebibyte_bits;
+}
+
 void settings_reader::read_milliseconds(char const *key, duration &value)
 {
     constexpr std::int64_t max = milliseconds(hours(24)).count();
--- a/src/settings_reader.hpp
+++ b/src/settings_reader.hpp
@@ -7,6 +7,7 @@
 
 #include <toml++/toml.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <set>
@@ -54,6 +55,9 @@
     /// Reads a number from `min` to `max`.
     void read(char const *key, double &value, double min, double max);
 
+    /// Reads a whole number of mebibytes, from 64 to 1048576.
+    void read_megabytes(char const *key, std::size_t &bytes);
+
     /// Reads a duration in whole milliseconds, from 0 to 24 hours.
     void read_milliseconds(char const *key, duration &value);
 
--- /dev/null
+++ b/test/error/held_requests_test.cpp
@@ -0,0 +1,122 @@
+// Guards against callers that send bodies without end: what a daemon holds of
+// all requests together must fit into the memory of its host.
+#include "loopback_proxy.hpp"
+#include "raw_client.hpp"
+#include "scripted_deployment.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace agateledge;
+
+/// A quarter of the memory of the smallest host, 260 MB.
+constexpr std::size_t held_bytes = std::size_t{65} << 20;
+
+/// @return resident memory of this process in bytes
+std::size_t resident_bytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total_pages = 0;
+    std::size_t resident_pages = 0;
+    file >> total_pages >> resident_pages;
+    return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+std::string chunk_of(std::size_t bytes)
+{
+    std::string const data(bytes, 'x');
+    std::array<char, 32> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes);
+    return size.data() + data + "\r\n";
+}
+
+/// Callers that send a large part of a chunked body and no end of it.
+class unfinished_callers
+{
+public:
+    unfinished_callers(int port, std::string const &head)
+    {
+        constexpr int caller_count = 240;
+        auto const part = head + "Transfer-Encoding: chunked\r\n\r\n" +
+                          chunk_of(std::size_t{900} << 10);
+        auto const before = resident_bytes();
+        for (int i = 0; i < caller_count; ++i)
+        {
+            callers_.push_back(std::make_unique<raw_client>(port));
+            callers_.back()->send(part);
+            run_main_context_until([] { return false; }, milliseconds(2));
+            most_bytes = std::max(most_bytes, resident_bytes() - before);
+        }
+    }
+
+    /// Ends all bodies.
+    ///
+    /// @return answers that refuse the request as not run
+    std::ptrdiff_t refusals()
+    {
+        std::ranges::for_each(callers_,
+                              [](auto &caller) { caller->send("0\r\n\r\n"); });
+        run_main_context_until([] { return false; }, milliseconds(500));
+        return std::ranges::count_if(
+            callers_,
+            [](auto &caller)
+            {
+                caller->read_available();
+                auto const &text = caller->received;
+                return text.starts_with("HTTP/1.1 503 ") &&
+                       text.find("queue_full") != std::string::npos;
+            });
+    }
+
+    std::size_t most_bytes = 0;
+
+private:
+    std::vector<std::unique_ptr<raw_client>> callers_;
+};
+
+TEST(held_requests, unfinished_bodies_of_all_callers_are_bounded)
+{
+    loopback_proxy daemon(seconds(1), milliseconds(1));
+    run_main_context_until([] { return false; }, milliseconds(500));
+    unfinished_callers callers(daemon.port(),
+                               "POST /book/1 HTTP/1.1\r\nHost: localhost\r\n"
+                               "Attempt-Id: a\r\n");
+    EXPECT_LE(callers.most_bytes, held_bytes);
+    raw_client sound(daemon.port());
+    sound.send(make_http_request(
+        "POST", "/book/1", "Attempt-Id: b\r\nDeadline-Ms: 1000\r\n", "{}"));
+    EXPECT_TRUE(sound.read_until("seat of b")) << sound.received;
+    EXPECT_EQ(daemon.calls(), 1);
+    EXPECT_GE(callers.refusals(), 100);
+}
+
+TEST(held_requests, they_are_bounded_at_the_own_interface)
+{
+    scripted_deployment deployment;
+    unfinished_callers callers(
+        deployment.port(),
+        "POST /v1/services/desk/bookings HTTP/1.1\r\nHost: localhost\r\n"
+        "Idempotency-Key: unfinished\r\n" +
+            std::string(caller_headers));
+    EXPECT_LE(callers.most_bytes, held_bytes);
+    auto const answer =
+        deployment.call("POST", "/v1/services/desk/bookings",
+                        "Idempotency-Key: sound\r\n", "{}", "12");
+    EXPECT_TRUE(answer.find("seat") != std::string::npos) << answer;
+    EXPECT_EQ(deployment.request_counts["/bookings"], 1);
+    EXPECT_GE(callers.refusals(), 100);
+}
+
+} // namespace
