--- a/src/run_ctl.cpp
+++ b/src/run_ctl.cpp
@@ -3,6 +3,7 @@
 #include "command_options.hpp"
 #include "http_client.hpp"
 #include "json_text.hpp"
+#include "resolve_address.hpp"
 
 #include <glib.h>
 
@@ -126,8 +127,9 @@
         return exit_usage;
     }
     auto const address = options.values()["address"].as<std::string>();
-    return print_answer(
-        address, send_and_wait(make_request(address, token, *statement)));
+    return print_answer(address,
+                        send_and_wait(make_request(resolve_address(address),
+                                                   token, *statement)));
 }
 
 } // namespace agateledge
