--- a/test/error/held_replies_test.cpp
+++ b/test/error/held_replies_test.cpp
@@ -4,12 +4,11 @@
 #include "http_client.hpp"
 #include "proxy_fixture.hpp"
 #include "raw_client.hpp"
+#include "resident_memory.hpp"
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <fstream>
 #include <memory>
 #include <numeric>
 #include <string>
@@ -25,16 +24,6 @@
 constexpr std::size_t host_bytes = std::size_t{260} << 20;
 constexpr std::size_t held_bytes = host_bytes / 4;
 
-/// @return resident memory of this process in bytes
-std::size_t resident_bytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total_pages = 0;
-    std::size_t resident_pages = 0;
-    file >> total_pages >> resident_pages;
-    return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
-
 http_request request_to(std::string const &address)
 {
     http_request request;
--- a/test/error/held_requests_test.cpp
+++ b/test/error/held_requests_test.cpp
@@ -2,16 +2,15 @@
 // all requests together must fit into the memory of its host.
 #include "loopback_proxy.hpp"
 #include "raw_client.hpp"
+#include "resident_memory.hpp"
 #include "scripted_deployment.hpp"
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdio>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,16 +23,6 @@
 /// A quarter of the memory of the smallest host, 260 MB.
 constexpr std::size_t held_bytes = std::size_t{65} << 20;
 
-/// @return resident memory of this process in bytes
-std::size_t resident_bytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total_pages = 0;
-    std::size_t resident_pages = 0;
-    file >> total_pages >> resident_pages;
-    return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
-
 std::string chunk_of(std::size_t bytes)
 {
     std::string const data(bytes, 'x');
