Test the bound on request bodies of internal listeners

The listeners of operators and peers got their bound with the others, without a test. 240 clients that send 900 KiB each and no end: 229 MB on the untouched code, at most the 65 MB of the bound now, and another client is answered.

--- a/test/error/held_requests_test.cpp
+++ b/test/error/held_requests_test.cpp
@@ -1,5 +1,7 @@
 // Guards against callers that send bodies without end: what a daemon holds of
 // all requests together must fit into the memory of its host.
+#include "http_exchange.hpp"
+#include "http_server.hpp"
 #include "loopback_proxy.hpp"
 #include "memory_in_use.hpp"
 #include "raw_client.hpp"
@@ -114,4 +116,20 @@
     EXPECT_TRUE(callers.are_refused(100));
 }
 
+TEST(held_requests, they_are_bounded_at_internal_listeners)
+{
+    http_server server;
+    server.add("/statements", [](std::shared_ptr<http_exchange> const &request)
+               { request->reply(200, "{}"); });
+    ASSERT_TRUE(server.listen("127.0.0.1:0").ok());
+    auto const address = server.address();
+    auto const port = std::stoi(address.substr(address.rfind(':') + 1));
+    unfinished_callers const callers(
+        port, "POST /statements HTTP/1.1\r\nHost: localhost\r\n");
+    EXPECT_LE(callers.most_bytes, held_bytes);
+    raw_client sound(port);
+    sound.send(make_http_request("POST", "/statements", "", "{}"));
+    EXPECT_TRUE(sound.read_until("HTTP/1.1 200")) << sound.received;
+}
+
 } // namespace
