--- a/test/error/endless_request_test.cpp
+++ b/test/error/endless_request_test.cpp
@@ -1,5 +1,6 @@
 // Guards against a caller that sends bytes without end and keeps the main loop
 // of a daemon from serving others.
+#include "internal_assert.hpp"
 #include "loopback_proxy.hpp"
 #include "raw_client.hpp"
 
@@ -36,8 +37,9 @@
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(port));
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        connect(socket_, reinterpret_cast<sockaddr *>(&address),
-                sizeof(address));
+        internal_assert(connect(socket_, reinterpret_cast<sockaddr *>(&address),
+                                sizeof(address)) == 0,
+                        "the daemon takes no connection");
         timeval const send_timeout{0, 100'000};
         setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &send_timeout,
                    sizeof(send_timeout));
--- a/test/error/held_replies_test.cpp
+++ b/test/error/held_replies_test.cpp
@@ -44,6 +44,7 @@
           "HTTP/1.1 500 Error\r\n\r\nx"})
     {
         std::vector<std::unique_ptr<fixed_reply_server>> servers;
+        servers.reserve(server_count);
         http_client client(connection_reuse::single_call);
         std::vector<http_reply> replies;
         auto const before = memory_in_use();
@@ -78,6 +79,7 @@
     http_client client(connection_reuse::single_call);
     std::size_t ended = 0;
     constexpr int server_count = 12;
+    servers.reserve(server_count);
     for (int i = 0; i < server_count; ++i)
     {
         servers.push_back(std::make_unique<fixed_reply_server>(
--- a/test/error/held_requests_test.cpp
+++ b/test/error/held_requests_test.cpp
@@ -43,6 +43,7 @@
         auto const part = head + "Transfer-Encoding: chunked\r\n\r\n" +
                           chunk_of(std::size_t{900} << 10);
         auto const before = memory_in_use();
+        callers_.reserve(caller_count);
         for (int i = 0; i < caller_count; ++i)
         {
             callers_.push_back(std::make_unique<raw_client>(port));
