Declare the interfaces of the parts for two customers with hard load

Cause: accounts, duties, capacity orders and shared store reads are built side by side; a change of world.hpp or of what it includes rebuilds 250 files.

--- a/src/daemon_loop.hpp
+++ b/src/daemon_loop.hpp
@@ -36,6 +36,15 @@
     std::function<void(daemon_row_write const &)> write_daemon_row;
     std::function<void(peer_load_send const &)> send_peer_load;
     std::function<void(part_evidence_send const &)> send_part_evidence;
+    std::function<void(std::shared_ptr<row_transaction const> const &)>
+        write_rows;
+    std::function<void(std::shared_ptr<platform_call const> const &)>
+        call_platform;
+    std::function<void(peer_report<store_view_report> const &)> send_store_view;
+    std::function<void(peer_report<usage_snapshot> const &)>
+        send_usage_snapshot;
+    std::function<void(peer_report<account_load_report> const &)>
+        send_account_load;
     /// Runs after all caller replies of a tick, so that they can be sent
     /// together.
     std::function<void()> flush_replies;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -76,6 +76,7 @@
     handlers.on_head = [item](int status, header_list const &headers)
     {
         item->reply.status = status;
+        item->reply.headers = headers;
         item->has_length = std::ranges::any_of(
             headers, [](auto const &header)
             { return absl::EqualsIgnoreCase(header.first, "Content-Length"); });
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -20,6 +20,7 @@
 {
     http_outcome outcome = http_outcome::answered;
     int status = 0;
+    header_list headers;
     std::string body;
 
     /// @return the status of a complete reply; 0 when there is none
--- a/src/inbox.hpp
+++ b/src/inbox.hpp
@@ -22,6 +22,12 @@
 namespace agateledge
 {
 
+struct account_load_report;
+struct platform_reply;
+struct row_transaction_reply;
+struct store_view_report;
+struct usage_snapshot;
+
 /// Position at which an interrupted answer is resumed, taken from the signed
 /// request id and the offset in the caller's `Last-Event-ID`.
 struct resume_point
@@ -237,6 +243,13 @@
     std::vector<row_read_reply> row_read_replies;
     std::vector<peer_load_report> peer_load_reports;
     std::vector<part_evidence_report> part_evidence_reports;
+    std::vector<std::shared_ptr<row_transaction_reply const>>
+        row_transaction_replies;
+    std::vector<std::shared_ptr<platform_reply const>> platform_replies;
+    std::vector<std::shared_ptr<store_view_report const>> store_view_reports;
+    std::vector<std::shared_ptr<usage_snapshot const>> usage_snapshots;
+    std::vector<std::shared_ptr<account_load_report const>>
+        account_load_reports;
     bool shutdown = false;
 };
 
--- a/src/instance_definition.hpp
+++ b/src/instance_definition.hpp
@@ -26,6 +26,8 @@
     engine_role role = engine_role::mixed;
     /// Start of this incarnation, in Unix milliseconds; 0 when unknown.
     std::int64_t started_at_ms = 0;
+    /// The platform may withdraw the instance at short notice.
+    bool reclaimable = false;
 
     auto operator<=>(instance_definition const &) const = default;
 };
--- a/src/outbox.hpp
+++ b/src/outbox.hpp
@@ -14,6 +14,21 @@
 namespace agateledge
 {
 
+struct account_load_report;
+struct platform_call;
+struct row_transaction;
+struct store_view_report;
+struct usage_snapshot;
+
+/// Report to send to other daemons in one datagram each.
+template <class Report>
+struct peer_report
+{
+    /// IP addresses and ports of the receivers.
+    std::vector<std::string> to;
+    std::shared_ptr<Report const> report;
+};
+
 enum class caller_reply_kind
 {
     /// The request is accepted; carries the parts of the request id.
@@ -167,6 +182,11 @@
     std::vector<daemon_row_write> daemon_row_writes;
     std::vector<peer_load_send> peer_load_reports;
     std::vector<part_evidence_send> part_evidence_reports;
+    std::vector<std::shared_ptr<row_transaction const>> row_transactions;
+    std::vector<std::shared_ptr<platform_call const>> platform_calls;
+    std::vector<peer_report<store_view_report>> store_view_reports;
+    std::vector<peer_report<usage_snapshot>> usage_snapshots;
+    std::vector<peer_report<account_load_report>> account_load_reports;
     /// True once the shutdown is complete and the process may exit.
     bool shutdown_complete = false;
 };
--- a/src/proxy_codec.hpp
+++ b/src/proxy_codec.hpp
@@ -15,6 +15,11 @@
 namespace agateledge
 {
 
+struct platform_call;
+struct platform_reply;
+struct row_transaction;
+struct row_transaction_reply;
+
 /// Request of a caller, as received.
 struct received_request
 {
@@ -77,6 +82,25 @@
     /// Encodes a write of the daemon's own row.
     std::function<http_request(daemon_row_write const &)> encode_daemon_row;
 
+    /// Extracts the era of the store from the headers of any of its replies; 0
+    /// when there is none.
+    std::function<std::uint64_t(header_list const &)> decode_store_era;
+
+    /// Encodes a transaction on the system's own rows.
+    std::function<http_request(row_transaction const &)> encode_row_transaction;
+
+    /// Decodes the reply to such a transaction; `status` is 0 without a reply.
+    std::function<row_transaction_reply(row_transaction const &, int status,
+                                        std::string_view body)>
+        decode_row_transaction;
+
+    /// Encodes a call to the platform's service interface.
+    std::function<http_request(platform_call const &)> encode_platform_call;
+
+    /// Decodes the reply to such a call; `status` is 0 without a reply.
+    std::function<platform_reply(platform_call const &, int status)>
+        decode_platform_reply;
+
     /// Path of the readiness check that the load balancer uses.
     std::string readiness_path;
 };
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -63,6 +63,8 @@
     /// at the beginning.
     std::string resume_after;
     std::optional<prompt_shape> prompt;
+    /// Value of the header with the caller's key; empty when there is none.
+    std::string credential;
 
     /// @return the path without the query
     std::string_view path() const
@@ -122,6 +124,9 @@
     /// beginning.
     std::string resume_after;
     duration connect_timeout{};
+    /// Client account that the instance is told, empty for none; the caller's
+    /// key is removed. Without a value, the headers are forwarded unchanged.
+    std::optional<std::string> account;
 };
 
 /// Cancels a call; its connection is closed immediately.
--- a/src/proxy_settings.cpp
+++ b/src/proxy_settings.cpp
@@ -1,7 +1,11 @@
 #include "proxy_settings.hpp"
 
+#include "duty_names.hpp"
 #include "settings_reader.hpp"
 
+#include <algorithm>
+#include <string>
+
 namespace agateledge
 {
 
@@ -56,6 +60,8 @@
     reader.read_seconds("shutdown_grace_s", out.limits.shutdown_grace);
     reader.read_milliseconds("drain_bound_ms", out.limits.drain_bound);
     reader.read_milliseconds("reconnect_bound_ms", out.limits.reconnect_bound);
+    reader.read_milliseconds("configuration_bound_ms",
+                             out.limits.configuration_bound);
     reader.report_unknown_keys();
 }
 
@@ -74,6 +80,30 @@
     reader.report_unknown_keys();
 }
 
+void read_duties(settings_reader &root, proxy_settings &out)
+{
+    auto const *table = root.table("duties");
+    if (table == nullptr)
+    {
+        return;
+    }
+    auto reader = root.subtable(*table, "duties");
+    auto &duties = out.limits.duties;
+    constexpr double max_calls_per_second = 1e6;
+    reader.read_address("platform", duties.platform_address, true);
+    auto const names = reader.strings("names");
+    duties.reports_usage = std::ranges::count(names, platform::usage_duty) != 0;
+    duties.orders_capacity =
+        std::ranges::count(names, platform::capacity_duty) != 0;
+    reader.read("calls_per_s", duties.calls_per_second, 0.1,
+                max_calls_per_second);
+    reader.read_milliseconds("lease_ms", duties.lease_time);
+    reader.read_milliseconds("thaw_slack_ms", duties.thaw_slack);
+    reader.read_seconds("usage_window_s", duties.usage_window);
+    reader.read_seconds("usage_due_s", duties.usage_due);
+    reader.report_unknown_keys();
+}
+
 void read_settings(settings_reader &root, proxy_settings &out)
 {
     root.read("name", out.name, true);
@@ -84,6 +114,7 @@
     read_store(root, out);
     read_limits(root, out);
     read_retries(root, out);
+    read_duties(root, out);
     root.report_unknown_keys();
 }
 
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -30,6 +30,11 @@
 namespace agateledge
 {
 
+struct account_state;
+struct capacity_state;
+struct duty_state;
+struct store_view_state;
+
 /// Progress of reading one polled table of the store.
 struct table_poll_state
 {
@@ -60,6 +65,8 @@
     std::optional<instant> failed_at;
     /// Time of the first answer after a failure.
     instant restored_at{};
+    /// Highest era that the store has named; 0 when it names none.
+    std::uint64_t era = 0;
 };
 
 /// A daemon of the deployment, from its row in the store.
@@ -123,6 +130,13 @@
     /// prefills nothing meanwhile, by service.
     std::map<std::string, duration> event_times;
     struct reply_memory reply_memory;
+    /// State of the passes that only some deployments call for, each created by
+    /// its pass. Held by pointer, so that a change of one of these types does
+    /// not rebuild all passes.
+    std::shared_ptr<account_state> accounts;
+    std::shared_ptr<duty_state> duties;
+    std::shared_ptr<capacity_state> capacity;
+    std::shared_ptr<store_view_state> store_view;
     proxy_metrics metrics;
     std::optional<instant> stopping_since;
     /// Last time at which a request was open during shutdown.
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -36,6 +36,11 @@
     /// Null when no route matches.
     std::shared_ptr<route_definition const> route;
     std::string service;
+    /// Client account of the caller; empty when the request needs none.
+    std::string account;
+    /// Priority class: that of the account, or else of the route; 0 is the
+    /// highest.
+    int priority = 0;
     prompt_chain chain;
     instant arrived_at{};
     /// Deadline: the time limit of the caller or the timeout of the route,
--- a/src/route_definition.hpp
+++ b/src/route_definition.hpp
@@ -57,6 +57,8 @@
     /// An interrupted stream may be resumed at another instance after its last
     /// event.
     bool resumable = false;
+    /// Requests need no key of a client account.
+    bool is_public = false;
 
     /// @return true when a request may be executed more than once
     bool can_retry() const
--- a/src/routing_configuration.hpp
+++ b/src/routing_configuration.hpp
@@ -7,6 +7,8 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +16,25 @@
 namespace agateledge
 {
 
+class account_directory;
+
+/// Numbers of instances of a service that may be ordered from the platform.
+/// They apply to each data centre, to ordinary and reclaimable instances
+/// together.
+struct capacity_limits
+{
+    int min_instances = 0;
+    int max_instances = 0;
+    /// Time from an order until a new instance serves.
+    duration boot_time{};
+    /// Price of a reclaimable instance relative to an ordinary one.
+    double reclaimable_price = 1;
+    /// Price of an instance second, by data centre.
+    std::map<std::string, double> prices;
+
+    auto operator<=>(capacity_limits const &) const = default;
+};
+
 /// Group of instances that serve the same requests.
 struct service_profile
 {
@@ -28,6 +49,10 @@
     double kv_bytes_per_ms = 0;
     /// Output tokens in one event of a stream.
     int tokens_per_event = 1;
+    /// Concurrent requests of one engine; 0 when not configured.
+    int slots = 0;
+    /// Set when instances of the service may be ordered.
+    std::optional<capacity_limits> capacity;
 
     auto operator<=>(service_profile const &) const = default;
 };
@@ -51,6 +76,9 @@
     std::vector<route_definition> routes;
     std::vector<service_profile> services;
     request_limits limits;
+    /// Client accounts and their keys; null when the configuration has none, so
+    /// that requests need no key.
+    std::shared_ptr<account_directory const> accounts;
 
     auto operator<=>(routing_configuration const &) const = default;
 };
--- a/src/row_messages.hpp
+++ b/src/row_messages.hpp
@@ -101,6 +101,9 @@
     std::shared_ptr<routing_configuration const> configuration;
     /// Decoding error, or the error text that the store sent.
     std::string fault;
+    /// Era of the store, which rises when the store returns from a copy that is
+    /// some seconds old; 0 when the reply names none.
+    std::uint64_t store_era = 0;
 };
 
 /// Write or removal of this daemon's own row.
--- a/src/settings_reader.cpp
+++ b/src/settings_reader.cpp
@@ -255,6 +255,30 @@
     return out;
 }
 
+std::vector<std::string> settings_reader::strings(char const *key)
+{
+    std::vector<std::string> out;
+    auto const *node = find(key);
+    if (node == nullptr)
+    {
+        return out;
+    }
+    auto const *array = node->as_array();
+    bool const valid =
+        array != nullptr &&
+        std::all_of(array->begin(), array->end(),
+                    [](toml::node const &item) { return item.is_string(); });
+    if (!valid)
+    {
+        report(key, "must be an array of strings");
+        return out;
+    }
+    std::transform(array->begin(), array->end(), std::back_inserter(out),
+                   [](toml::node const &item)
+                   { return item.value_or(std::string()); });
+    return out;
+}
+
 settings_reader settings_reader::subtable(toml::table const &table,
                                           std::string const &key) const
 {
--- a/src/settings_reader.hpp
+++ b/src/settings_reader.hpp
@@ -70,6 +70,9 @@
     /// @return the tables of the array under `key`; empty when it is absent
     std::vector<toml::table const *> tables(char const *key);
 
+    /// @return the strings of the array under `key`; empty when it is absent
+    std::vector<std::string> strings(char const *key);
+
     /// @return a reader for a table nested in this one; it shares the list of
     ///         errors
     settings_reader subtable(toml::table const &table,
