--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -1,5 +1,6 @@
 #include "proxy_metrics_text.hpp"
 
+#include "capacity_state.hpp"
 #include "world.hpp"
 
 #include <sstream>
@@ -54,6 +55,41 @@
                                  : -1;
 }
 
+/// Writes the number of engines of each group, at the daemon that orders them.
+void write_engines(std::ostream &out, char const *name,
+                   capacity_state const &state, auto const &engines)
+{
+    out << "# TYPE " << prefix << name << " gauge\n";
+    for (auto const &[id, group] : state.groups)
+    {
+        out << prefix << name << "{service=\"" << id.service
+            << "\",data_centre=\"" << id.data_centre << "\",reclaimable=\""
+            << (id.reclaimable ? "true" : "false") << "\"} " << engines(group)
+            << "\n";
+    }
+}
+
+void write_capacity(std::ostream &out, capacity_state const &state)
+{
+    write_counters(out, "capacity_orders_total", "result", state.results);
+    if (!state.is_holder)
+    {
+        return;
+    }
+    write_engines(out, "capacity_engines_serving", state,
+                  [](capacity_group const &group)
+                  { return group.serving.total(); });
+    write_engines(out, "capacity_engines_ordered", state,
+                  [](capacity_group const &group)
+                  { return group.ordered.value_or(group.serving.total()); });
+    out << "# TYPE " << prefix << "capacity_engines_needed gauge\n";
+    for (auto const &[name, service] : state.services)
+    {
+        out << prefix << "capacity_engines_needed{service=\"" << name << "\"} "
+            << service.needed << "\n";
+    }
+}
+
 } // namespace
 
 std::string proxy_metrics_text(world const &w)
@@ -115,6 +151,10 @@
                 table_age_s(w, polled_table::configuration));
     write_value(out, "directory_age_seconds", "gauge",
                 table_age_s(w, polled_table::instances));
+    if (proxy.capacity)
+    {
+        write_capacity(out, *proxy.capacity);
+    }
     write_latency(out, "queued_seconds", metrics.queued);
     write_latency(out, "first_event_seconds", metrics.first_event);
     write_latency(out, "late_by_seconds", metrics.late_by);
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -7,6 +7,7 @@
 #include "exchange_part_evidence.hpp"
 #include "expire_proxied_requests.hpp"
 #include "hold_suspected_prompts.hpp"
+#include "order_capacity.hpp"
 #include "place_proxied_requests.hpp"
 #include "poll_caches.hpp"
 #include "poll_store.hpp"
@@ -16,6 +17,7 @@
 #include "stop_proxy.hpp"
 #include "track_engine_losses.hpp"
 #include "update_directory.hpp"
+#include "world.hpp"
 
 namespace agateledge
 {
@@ -24,6 +26,7 @@
 {
     poll_store(w);
     update_directory(w);
+    order_capacity(w, authority_over(w, duty::order_capacity));
     exchange_loads(w);
     record_leaving_instances(w);
     record_instance_pauses(w);
