Keep ordinary engines until those that replace them serve

Cause: a plan lowered the ordinary engines as a surplus while the reclaimable ones were booting; reads of the row may return other rows; until the era of the store was known here, no write would have counted as committed. Change: no removal of ordinary engines while any are coming; the row is found by its key; the era is learned from replies; no reserve elsewhere for the first pause after a 409.

--- a/src/capacity_state.hpp
+++ b/src/capacity_state.hpp
@@ -83,6 +83,12 @@
     /// before the first one.
     std::uint64_t fencing = 0;
     capacity_row_state row;
+    /// Highest era that the store has named.
+    std::uint64_t era = 0;
+    /// Number of the last transaction or call. Replies of the platform do not
+    /// name the pass that they are for, so the numbers of this pass are above
+    /// those of others.
+    std::uint64_t last_operation = std::uint64_t{1} << 62;
     instant next_plan{};
     /// Orders whose row is being written.
     std::vector<open_order> unwritten;
--- a/src/capacity_view.hpp
+++ b/src/capacity_view.hpp
@@ -68,6 +68,8 @@
     std::optional<instant> lowered_at;
     /// End of the pause after the platform had no engines available.
     instant unavailable_until{};
+    /// Such replies since the last accepted order.
+    int refusals = 0;
 
     auto operator<=>(capacity_group const &) const = default;
 };
--- a/src/order_capacity.cpp
+++ b/src/order_capacity.cpp
@@ -111,10 +111,9 @@
     state.next_sample = w.now + sample_period;
     wake_at(w, state.next_sample);
     state.activity.retain(
-        [&w](std::string const &daemon)
-        {
+        [&w](std::string const &daemon) {
             return daemon == w.identity.name ||
-                   w.proxy.daemons.find(daemon) != w.proxy.daemons.end();
+                   w.proxy.daemons.contains(daemon);
         });
     bool const is_heard =
         state.activity.heard(w.now, max_snapshot_age) * 2 >= fleet_size(w);
@@ -260,14 +259,15 @@
 {
     auto &row = state.row;
     row_transaction transaction;
-    transaction.operation = ++w.last_operation;
+    transaction.operation = ++state.last_operation;
     transaction.owner = row_owner::capacity;
     transaction.conditions = {{row_key, row.version}};
     transaction.puts = std::move(puts);
     transaction.timeout = call_timeout;
     row.operation = transaction.operation;
     row.is_write = !transaction.puts.empty();
-    row.era = w.proxy.store.era;
+    state.era = std::max(state.era, w.proxy.store.era);
+    row.era = state.era;
     row.lost_at = w.now + call_timeout + reply_slack;
     wake_at(w, row.lost_at);
     w.out.row_transactions.push_back(
@@ -429,14 +429,19 @@
     bool const is_read =
         !row.is_write &&
         (is_committed || reply.outcome == row_transaction_outcome::conflict);
+    bool const is_newer_era = reply.store_era > row.era;
+    state.era = std::max(state.era, reply.store_era);
     if (is_read)
     {
-        adopt_row(w, state,
-                  reply.rows.empty() ? stored_row{} : reply.rows.front());
+        // A read may also return rows that follow this one.
+        auto const found = std::find_if(reply.rows.begin(), reply.rows.end(),
+                                        [](stored_row const &stored)
+                                        { return stored.key == row_key; });
+        adopt_row(w, state, found == reply.rows.end() ? stored_row{} : *found);
         return;
     }
     // The store may have lost a write that it acknowledged in an older era.
-    if (is_committed && reply.store_era <= row.era)
+    if (is_committed && !is_newer_era)
     {
         row.version = reply.version;
         row.failures = 0;
@@ -517,6 +522,7 @@
 {
     auto const engines = order.planned.order.instances;
     group.ordered_at = w.now;
+    group.refusals = 0;
     (engines < order.planned.before ? group.lowered_at : group.raised_at) =
         w.now;
 }
@@ -542,6 +548,7 @@
         return;
     case platform_outcome::unavailable:
         group.unavailable_until = w.now + unavailable_pause;
+        ++group.refusals;
         restore_group(state, order);
         return;
     case platform_outcome::rejected:
@@ -586,7 +593,7 @@
             continue;
         }
         platform_call call;
-        call.operation = ++w.last_operation;
+        call.operation = ++state.last_operation;
         call.holder = w.identity.name;
         call.fencing = authority.fencing;
         call.body = order.planned.order;
@@ -711,7 +718,9 @@
     auto &state = state_of(w);
     for (auto const &snapshot : w.in.usage_snapshots)
     {
-        if (w.proxy.daemons.find(snapshot->sender) != w.proxy.daemons.end())
+        // Reports of other content, such as those of leases, have no services.
+        bool const is_activity = !snapshot->services.empty();
+        if (is_activity && w.proxy.daemons.contains(snapshot->sender))
         {
             record_service_activity(w, *snapshot);
         }
--- a/src/plan_capacity.cpp
+++ b/src/plan_capacity.cpp
@@ -351,11 +351,10 @@
     /// Adds the engines that help most for their price until the scenarios are
     /// met or no group may have more.
     ///
-    /// @param ordinary ordinary engines beyond those that are expected may be
-    ///        added
-    void meet(std::vector<scenario> const &events, bool ordinary)
+    /// @param new_engines engines beyond those that are expected may be added
+    void meet(std::vector<scenario> const &events, bool new_engines)
     {
-        while (auto const next = best_addition(events, ordinary))
+        while (auto const next = best_addition(events, new_engines))
         {
             ++numbers_[*next];
         }
@@ -377,18 +376,19 @@
         return out;
     }
 
-    bool may_add(std::size_t index, bool ordinary) const
+    bool may_add(std::size_t index, bool new_engines) const
     {
         auto const &group = view_.groups[index];
         bool const is_expected = numbers_[index] < expected_[index];
         bool const allowed =
-            group.reclaimable ? reclaimable_pays(view_.limits) : ordinary;
+            !group.reclaimable || reclaimable_pays(view_.limits);
         return in_data_centre(index) < view_.limits.max_instances &&
-               (is_expected || (allowed && may_rise(view_, group)));
+               (is_expected ||
+                (new_engines && allowed && may_rise(view_, group)));
     }
 
     std::optional<std::size_t>
-    best_addition(std::vector<scenario> const &events, bool ordinary) const
+    best_addition(std::vector<scenario> const &events, bool new_engines) const
     {
         std::optional<std::size_t> best;
         double best_price = std::numeric_limits<double>::max();
@@ -405,7 +405,7 @@
             auto const price =
                 price_of(view_, view_.groups[i]) /
                 static_cast<double>(std::max<std::ptrdiff_t>(helped, 1));
-            if (helped > 0 && may_add(i, ordinary) && price < best_price)
+            if (helped > 0 && may_add(i, new_engines) && price < best_price)
             {
                 best = i;
                 best_price = price;
@@ -426,13 +426,13 @@
     number_builder builder(view, cheapest_numbers(view, need.engines));
     builder.fill_minimum();
     builder.meet({events.front()}, true);
-    // While reclaimable engines are not to be had somewhere, ordinary ones are
-    // ordered for the load, but not as a reserve.
-    bool const any_unavailable =
-        std::any_of(view.groups.begin(), view.groups.end(),
-                    [&view](capacity_group const &group)
-                    { return is_unavailable(view, group); });
-    builder.meet(events, !any_unavailable);
+    // After a reclaim, none can be ordered for some seconds. Other engines
+    // would be the reserve for a short time only, unless the shortage lasts.
+    bool const is_short_time = std::any_of(
+        view.groups.begin(), view.groups.end(),
+        [&view](capacity_group const &group)
+        { return is_unavailable(view, group) && group.refusals <= 1; });
+    builder.meet(events, !is_short_time);
     return builder.numbers();
 }
 
@@ -538,7 +538,7 @@
                 std::size_t index, int removed)
 {
     auto const all = serving_engines(view);
-    // Ordinary engines go only when at least as many others serve.
+    // Engines go only when at least as many others serve.
     if (all.total() - removed < removed ||
         !keeps_roles(all, view.groups[index].serving, removed))
     {
@@ -564,6 +564,15 @@
         });
 }
 
+/// @return true when ordered engines do not serve yet
+bool any_coming(capacity_view const &view)
+{
+    return std::any_of(
+        view.groups.begin(), view.groups.end(),
+        [&view](capacity_group const &group)
+        { return expected_engines(view, group) > group.serving.total(); });
+}
+
 /// @return number of engines that may be removed from the group now
 int removable_engines(capacity_view const &view,
                       std::vector<scenario> const &events, std::size_t index,
@@ -574,7 +583,9 @@
     bool const is_settled = expected_engines(view, group) == serving;
     bool const just_raised =
         group.raised_at && view.now < *group.raised_at + pause_before_removal;
-    if (!is_settled || just_raised)
+    // Ordinary engines stay until those that replace them serve.
+    bool const is_awaited = !group.reclaimable && any_coming(view);
+    if (!is_settled || just_raised || is_awaited)
     {
         return 0;
     }
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -26,8 +26,8 @@
 {
     poll_store(w);
     update_directory(w);
-    order_capacity(w, authority_over(w, duty::order_capacity));
     exchange_loads(w);
+    order_capacity(w, authority_over(w, duty::order_capacity));
     record_leaving_instances(w);
     record_instance_pauses(w);
     record_request_limits(w);
