--- a/test/correctness/order_capacity_test.cpp
+++ b/test/correctness/order_capacity_test.cpp
@@ -242,6 +242,61 @@
     }
 }
 
+TEST(order_capacity, trusts_no_commit_of_a_newer_era)
+{
+    capacity_daemon daemon;
+    for (int i = 0; i < 60 && daemon.row_version == 0; ++i)
+    {
+        bool const is_write =
+            !daemon.sent.row_transactions.empty() &&
+            !daemon.sent.row_transactions.front()->puts.empty();
+        daemon.era += is_write ? 1 : 0;
+        daemon.store_answers(row_transaction_outcome::committed);
+        daemon.run(light_load);
+    }
+    ASSERT_EQ(daemon.row_version, 1U);
+    EXPECT_TRUE(daemon.sent.platform_calls.empty());
+    EXPECT_FALSE(daemon.next_orders(light_load).empty());
+}
+
+TEST(order_capacity, plans_a_removal_anew_that_was_not_sent)
+{
+    capacity_daemon daemon;
+    std::vector<capacity_order> orders;
+    bool any_removal = false;
+    for (int i = 0; i < 80 && !any_removal; ++i)
+    {
+        daemon.platform_answers(platform_outcome::accepted);
+        orders = daemon.next_orders(light_load);
+        any_removal =
+            std::any_of(orders.begin(), orders.end(),
+                        [](capacity_order const &order)
+                        { return !order.reclaimable && order.instances < 30; });
+        // The reclaimable engines serve.
+        for (auto const &order : orders)
+        {
+            for (int n = 0; order.reclaimable && n < order.instances; ++n)
+            {
+                instance_definition engine;
+                engine.id = order.data_centre + std::to_string(n);
+                engine.service = "models";
+                engine.data_centre = order.data_centre;
+                engine.role =
+                    n % 3 == 0 ? engine_role::prefill : engine_role::decode;
+                engine.reclaimable = true;
+                daemon.state.proxy.instances.put(engine, 1);
+            }
+        }
+    }
+    ASSERT_TRUE(any_removal);
+    daemon.platform_answers(platform_outcome::not_sent);
+    // The load is too high for a removal when the platform is reachable again.
+    for (auto const &order : daemon.next_orders(light_load * 4))
+    {
+        EXPECT_TRUE(order.reclaimable || order.instances >= 30);
+    }
+}
+
 TEST(order_capacity, repeats_an_order_whose_reply_is_lost)
 {
     for (bool const reported : {true, false})
