Follow the era of the store

Cause: when the store returns from a copy it reuses row versions. A daemon that went on with its versions missed all changes until the new ones exceeded them. Change: the era is read in all answers, to reads and to writes. When it rises, all tables are read whole, known row versions are forgotten and the own row is written at once; replies of an older era, and replies to reads sent in one, are not used. Stores that name no era are treated as before.

--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -1,7 +1,9 @@
 #include "poll_store.hpp"
 
+#include "follow_store_era.hpp"
 #include "log_proxied_request.hpp"
 #include "poll_schedule.hpp"
+#include "store_view_state.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -28,11 +30,12 @@
     return w.proxy.table_polls.at(static_cast<std::size_t>(table));
 }
 
-poll_schedule schedule_of(world const &w, polled_table table)
+poll_schedule schedule_of(world &w, polled_table table)
 {
     auto const &store = w.proxy.store;
     bool const restored =
-        store.failed_at && w.now < store.restored_at + missing_row_grace;
+        in_era_grace(w) ||
+        (store.failed_at && w.now < store.restored_at + missing_row_grace);
     return poll_schedule_of(w.proxy, table, restored);
 }
 
@@ -117,11 +120,21 @@
     poll_state.next_read = w.now + schedule_of(w, reply.table).interval;
 }
 
-void handle_reply(world &w, row_read_reply const &reply)
+void handle_reply(world &w, row_read_reply &reply)
 {
     auto &poll_state = poll_state_of(w, reply.table);
     poll_state.in_flight = false;
     ++w.proxy.metrics.store_calls[std::string(name_of(reply.outcome))];
+    follow_store_era(w, reply.store_era);
+    if (is_of_older_era(w, reply))
+    {
+        // The later passes must not use the rows either. The reads have begun
+        // anew, so this is no failure of the store.
+        reply.outcome = row_outcome::failed;
+        reply.fault = "the reply belongs to an older era of the store";
+        poll_state.next_read = w.now;
+        return;
+    }
     if (reply.outcome == row_outcome::answered)
     {
         handle_rows(w, poll_state, reply);
@@ -155,6 +168,8 @@
     read.timeout =
         retrying ? retry_timeout : read.long_poll_wait + store_read_timeout;
     poll_state.in_flight = true;
+    store_view_of(w).read_eras.at(static_cast<std::size_t>(table)) =
+        w.proxy.store.era;
     w.out.row_reads.push_back(read);
 }
 
@@ -179,8 +194,8 @@
 
 void poll_store(world &w)
 {
-    std::ranges::for_each(w.in.row_read_replies,
-                          [&w](row_read_reply const &reply)
+    follow_store_era(w, store_view_of(w).written_era);
+    std::ranges::for_each(w.in.row_read_replies, [&w](row_read_reply &reply)
                           { handle_reply(w, reply); });
     read_table(w, polled_table::configuration);
     read_table(w, polled_table::instances);
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -109,6 +109,8 @@
     write_value(out, "daemons", "gauge",
                 static_cast<double>(proxy.daemons.size()));
     write_value(out, "store_reachable", "gauge", proxy.store.reachable ? 1 : 0);
+    write_value(out, "store_era", "gauge",
+                static_cast<double>(proxy.store.era));
     write_value(out, "configuration_version", "gauge",
                 static_cast<double>(proxy.routing->version));
     write_value(out, "configuration_age_seconds", "gauge",
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -6,6 +6,7 @@
 #include "peer_load_codec.hpp"
 #include "proxy_metrics_text.hpp"
 #include "settings_reader.hpp"
+#include "store_view_state.hpp"
 
 #include <glib.h>
 
@@ -103,6 +104,15 @@
     handlers.read_rows = [this](row_read const &read) { rows_.read(read); };
     handlers.write_daemon_row = [this](daemon_row_write const &write)
     { rows_.write(write); };
+    rows_.on_written_era = [this](std::uint64_t era)
+    {
+        auto &known = store_view_of(state_).written_era;
+        if (era > known)
+        {
+            known = era;
+            loop_.input();
+        }
+    };
     handlers.send_peer_load = [this](peer_load_send const &send)
     { send_peer_load(send); };
     handlers.send_part_evidence = [this](part_evidence_send const &send)
--- a/src/row_client.cpp
+++ b/src/row_client.cpp
@@ -47,9 +47,10 @@
     http_.send(request,
                [this, read](http_reply const &reply)
                {
-                   loop_.input().row_read_replies.push_back(
-                       codec_.decode_row_read(read, reply.answered_status(),
-                                              reply.body));
+                   auto decoded = codec_.decode_row_read(
+                       read, reply.answered_status(), reply.body);
+                   decoded.store_era = era_of(reply);
+                   loop_.input().row_read_replies.push_back(std::move(decoded));
                });
 }
 
@@ -61,6 +62,10 @@
     http_.send(request,
                [this](http_reply const &reply)
                {
+                   if (on_written_era)
+                   {
+                       on_written_era(era_of(reply));
+                   }
                    bool const written =
                        reply.outcome == http_outcome::answered &&
                        reply.status >= http_ok &&
@@ -72,4 +77,11 @@
                });
 }
 
+std::uint64_t row_client::era_of(http_reply const &reply) const
+{
+    return reply.outcome == http_outcome::answered && codec_.decode_store_era
+               ? codec_.decode_store_era(reply.headers)
+               : 0;
+}
+
 } // namespace agateledge
--- a/src/row_client.hpp
+++ b/src/row_client.hpp
@@ -3,6 +3,8 @@
 
 #include "row_messages.hpp"
 
+#include <cstdint>
+#include <functional>
 #include <string>
 
 namespace agateledge
@@ -10,6 +12,7 @@
 
 class daemon_loop;
 class http_client;
+struct http_reply;
 struct proxy_codec;
 
 /// Client of the platform's store.
@@ -32,7 +35,12 @@
     /// Changes the address for later calls.
     void set_address(std::string address) { address_ = std::move(address); }
 
+    /// Called with the era in the reply to each write; 0 for none.
+    std::function<void(std::uint64_t)> on_written_era;
+
 private:
+    std::uint64_t era_of(http_reply const &reply) const;
+
     http_client &http_;
     daemon_loop &loop_;
     proxy_codec const &codec_;
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -1,7 +1,9 @@
 #include "update_directory.hpp"
 
+#include "follow_store_era.hpp"
 #include "log_proxied_request.hpp"
 #include "poll_schedule.hpp"
+#include "store_view_state.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -89,7 +91,11 @@
         remove_instance(w, id);
         return;
     }
-    instance->expires_at = w.proxy.store.restored_at + missing_row_grace;
+    auto const &store = w.proxy.store;
+    instance->expires_at =
+        std::max(store.restored_at,
+                 store_view_of(w).era_changed_at.value_or(store.restored_at)) +
+        missing_row_grace;
     log_instance(w, "instance_lapsed", *instance);
 }
 
@@ -104,9 +110,10 @@
                               { return item.second.expires_at.has_value(); });
     auto const missing =
         static_cast<double>(ids.size()) + static_cast<double>(expiring);
-    bool const outage = in_missing_row_grace(w) &&
-                        missing >= min_missing_share_in_outage *
-                                       static_cast<double>(all.size());
+    bool const outage =
+        in_era_grace(w) || (in_missing_row_grace(w) &&
+                            missing >= min_missing_share_in_outage *
+                                           static_cast<double>(all.size()));
     std::ranges::for_each(ids, [&w, outage](std::string const &id)
                           { handle_missing_row(w, id, outage); });
 }
@@ -126,15 +133,15 @@
         remove_instance(w, row.id);
         return;
     }
+    auto const definition = without_reverted_drain(w, *row.instance);
     bool const changed = known == nullptr || known->expires_at ||
-                         known->definition != *row.instance;
-    auto const &state = w.proxy.instances.put(*row.instance, row.row_version);
+                         known->definition != definition;
+    auto const &state = w.proxy.instances.put(definition, row.row_version);
     if (changed)
     {
-        log_instance(w,
-                     row.instance->accepts_work ? "instance_listed"
-                                                : "instance_leaving",
-                     state);
+        log_instance(
+            w, definition.accepts_work ? "instance_listed" : "instance_leaving",
+            state);
     }
 }
 
