Read the store for a data centre by two of its daemons

Cause: each daemon reads the instances every 1.7 s and holds a read of the configuration, about 1.1 calls a second; with 86 or 300 daemons this loads the store and the processors, although few changes matter to routing. Change: in a fleet of more than 9 daemons whose store names eras, two daemons of each data centre read and report changes by datagram; the others read the store only when their view becomes older than its bound. A configuration that the store does not give is taken from a neighbour over TCP, also by a daemon that starts. A connection to the store whose host acknowledges nothing is closed after 2 s.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -39,6 +39,21 @@
     return socket;
 }
 
+/// Closes the connection when the other host has acknowledged nothing for
+/// `timeout`. Options that the system refuses leave its defaults in force: the
+/// timeout of the call still ends it.
+void set_unresponsive_timeout(GSocket *socket, duration timeout)
+{
+    auto const total = std::chrono::ceil<milliseconds>(timeout).count();
+    g_socket_set_keepalive(socket, TRUE);
+    // The first probe goes out after a second without data, the next ones each
+    // second; TCP_USER_TIMEOUT replaces the number of probes.
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, 1, nullptr);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, 1, nullptr);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                        static_cast<gint>(total), nullptr);
+}
+
 bool must_wait(GError const *error)
 {
     return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ||
@@ -126,12 +141,16 @@
         begin_exchange();
         return;
     }
-    connect(address.get());
+    connect(address.get(), request.unresponsive_timeout);
 }
 
-void http_call::connect(GSocketAddress *address)
+void http_call::connect(GSocketAddress *address, duration unresponsive_timeout)
 {
     socket_ = make_socket(address);
+    if (socket_ && unresponsive_timeout.count() > 0)
+    {
+        set_unresponsive_timeout(socket_.get(), unresponsive_timeout);
+    }
     GError *error = nullptr;
     bool const connected =
         socket_ &&
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -39,6 +39,10 @@
     duration connect_timeout = seconds(2);
     /// Timeout of the complete call; 0 for none.
     duration total_timeout{};
+    /// Time after which a new connection is closed when the other host
+    /// acknowledges nothing, whether data or keep-alive probes; 0 for the
+    /// defaults of the system.
+    duration unresponsive_timeout{};
     /// Uses a separate connection for this call, so that a late copy of an
     /// earlier reply cannot be taken for the reply to this one.
     bool new_connection = false;
@@ -99,7 +103,7 @@
 
     void start_timer(duration timeout);
     void stop_timer();
-    void connect(GSocketAddress *address);
+    void connect(GSocketAddress *address, duration unresponsive_timeout);
     void begin_exchange();
     void watch(GIOCondition condition, gsource_ptr &source);
     void handle_connected();
--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -3,6 +3,7 @@
 #include "follow_store_era.hpp"
 #include "log_proxied_request.hpp"
 #include "poll_schedule.hpp"
+#include "share_store_reads.hpp"
 #include "store_view_state.hpp"
 #include "world.hpp"
 
@@ -93,6 +94,7 @@
                  row_read_reply const &reply)
 {
     record_reachability(w, true, reply);
+    record_store_answer(w, reply, poll_state.version);
     poll_state.failures = 0;
     poll_state.confirmed_at = w.now;
     if (reply.full && poll_state.after_key.empty())
@@ -150,26 +152,30 @@
     {
         return;
     }
-    if (poll_state.next_read > w.now)
+    auto const schedule = schedule_of(w, table);
+    auto const due =
+        std::max(poll_state.next_read, shared_until(w, table, schedule.interval,
+                                                    schedule.long_poll_wait));
+    if (due > w.now)
     {
-        wake_at(w, poll_state.next_read);
+        wake_at(w, due);
         return;
     }
-    auto const schedule = schedule_of(w, table);
     row_read read;
     read.table = table;
     read.full = poll_state.needs_full_read;
     read.after_key = poll_state.after_key;
     read.after_version = poll_state.version;
     bool const retrying = poll_state.failures > 0;
-    read.long_poll_wait = poll_state.needs_full_read || retrying
+    bool const has_changed = table == polled_table::configuration &&
+                             awaits_first_read_of_announced(w);
+    read.long_poll_wait = poll_state.needs_full_read || retrying || has_changed
                               ? duration(0)
                               : schedule.long_poll_wait;
     read.timeout =
         retrying ? retry_timeout : read.long_poll_wait + store_read_timeout;
     poll_state.in_flight = true;
-    store_view_of(w).read_eras.at(static_cast<std::size_t>(table)) =
-        w.proxy.store.era;
+    record_store_read(w, read);
     w.out.row_reads.push_back(read);
 }
 
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -1,5 +1,6 @@
 #include "proxy_metrics_text.hpp"
 
+#include "store_view_state.hpp"
 #include "world.hpp"
 
 #include <sstream>
@@ -111,6 +112,15 @@
     write_value(out, "store_reachable", "gauge", proxy.store.reachable ? 1 : 0);
     write_value(out, "store_era", "gauge",
                 static_cast<double>(proxy.store.era));
+    if (auto const &view = proxy.store_view)
+    {
+        write_counters(out, "store_view_reports_total", "result",
+                       view->report_counts);
+        write_counters(out, "store_reads_total", "purpose", view->read_counts);
+        write_counters(out, "neighbour_configurations_total", "result",
+                       view->fetch_counts);
+        write_value(out, "store_reader", "gauge", view->is_reader ? 1 : 0);
+    }
     write_value(out, "configuration_version", "gauge",
                 static_cast<double>(proxy.routing->version));
     write_value(out, "configuration_age_seconds", "gauge",
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -6,6 +6,8 @@
 #include "peer_load_codec.hpp"
 #include "proxy_metrics_text.hpp"
 #include "settings_reader.hpp"
+#include "share_store_reads.hpp"
+#include "store_view_codec.hpp"
 #include "store_view_state.hpp"
 
 #include <glib.h>
@@ -24,8 +26,17 @@
 constexpr guint file_check_interval_ms = 2000;
 
 constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
 constexpr int http_unavailable = 503;
 
+/// Path at which a daemon gives its configuration to others, on the address of
+/// its datagrams.
+constexpr char const *configuration_path = "/configuration";
+
+/// Timeout of a fetch of the configuration from another daemon. Three such
+/// fetches take less than the time in which a configuration must be in force.
+constexpr duration fetch_timeout = milliseconds(400);
+
 /// Descriptors reserved for other uses than requests, and descriptors per
 /// request: the caller's connection and the call to an instance.
 constexpr int reserved_descriptors = 200;
@@ -83,7 +94,7 @@
     auto const &instances =
         proxy.table_polls.at(static_cast<std::size_t>(polled_table::instances));
     return proxy.routing->version != 0 && instances.fully_read &&
-           !proxy.stopping_since;
+           has_checked_neighbours(state_) && !proxy.stopping_since;
 }
 
 void proxy_process::install_handlers()
@@ -117,6 +128,10 @@
     { send_peer_load(send); };
     handlers.send_part_evidence = [this](part_evidence_send const &send)
     { send_part_evidence(send); };
+    handlers.send_store_view =
+        [this](peer_report<store_view_report> const &send)
+    { send_store_view(send); };
+    install_configuration_sharing();
     peers_.on_datagram = [this](std::string_view bytes)
     { handle_datagram(bytes); };
     loop_.polls().on_iteration = [this](duration busy, instant now)
@@ -150,6 +165,7 @@
     if (!config_.peer_address.empty())
     {
         status.Update(peers_.open(config_.peer_address));
+        status.Update(neighbours_.listen(config_.peer_address));
     }
     if (!status.ok())
     {
@@ -254,9 +270,92 @@
         loop_.input().part_evidence_reports.push_back(*std::move(evidence));
         return;
     }
+    if (auto view = decode_store_view(bytes))
+    {
+        loop_.input().store_view_reports.push_back(
+            std::make_shared<store_view_report const>(*std::move(view)));
+        return;
+    }
     ++state_.proxy.metrics.load_reports["unreadable"];
 }
 
+void proxy_process::send_store_view(peer_report<store_view_report> const &send)
+{
+    auto const bytes = encode_store_view(*send.report);
+    auto const failed = std::ranges::count_if(
+        send.to, [this, &bytes](std::string const &address)
+        { return !peers_.send(address, bytes); });
+    auto &counts = store_view_of(state_).report_counts;
+    counts["not_sent"] += static_cast<std::uint64_t>(failed);
+    counts["sent"] += send.to.size() - static_cast<std::uint64_t>(failed);
+}
+
+void proxy_process::install_configuration_sharing()
+{
+    rows_.on_configuration =
+        [this](std::uint64_t version, std::string const &text)
+    { keep_configuration(version, text); };
+    loop_.handlers.fetch_configuration =
+        [this](configuration_fetch const &fetch)
+    { fetch_configuration(fetch); };
+    neighbours_.add(configuration_path,
+                    [this](std::shared_ptr<http_exchange> const &request)
+                    {
+                        request->reply(configuration_text_.empty()
+                                           ? http_not_found
+                                           : http_ok,
+                                       configuration_text_);
+                    });
+}
+
+void proxy_process::keep_configuration(std::uint64_t version,
+                                       std::string const &text)
+{
+    if (version > configuration_version_)
+    {
+        configuration_version_ = version;
+        configuration_text_ = text;
+    }
+}
+
+void proxy_process::fetch_configuration(configuration_fetch const &fetch)
+{
+    http_request request;
+    request.address = fetch.address;
+    request.path = configuration_path;
+    request.total_timeout = fetch_timeout;
+    request.new_connection = true;
+    http_.send(request, [this, fetch](http_reply const &reply)
+               { handle_fetched_configuration(fetch, reply); });
+}
+
+void proxy_process::handle_fetched_configuration(
+    configuration_fetch const &fetch, http_reply const &reply)
+{
+    row_read read;
+    read.table = polled_table::configuration;
+    auto const decoded =
+        codec_.decode_row_read(read, reply.answered_status(), reply.body);
+    auto &view = store_view_of(state_);
+    view.fetch.in_flight = false;
+    auto const *outcome = "failed";
+    if (decoded.configuration)
+    {
+        outcome = "answered";
+        keep_configuration(decoded.configuration->version, reply.body);
+        view.fetch.received = decoded.configuration;
+        view.fetch.start_check_done = true;
+    }
+    ++view.fetch_counts[outcome];
+    log(log_level::info, "neighbour_configuration",
+        {{"peer", fetch.peer},
+         {"outcome", outcome},
+         {"version", decoded.configuration
+                         ? std::to_string(decoded.configuration->version)
+                         : "0"}});
+    loop_.input();
+}
+
 bool proxy_process::admits_request()
 {
     if (gate_.admits(gate_random_.uniform()))
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -69,7 +69,13 @@
     std::optional<std::string> read_settings_file_text() const;
     void send_peer_load(peer_load_send const &send);
     void send_part_evidence(part_evidence_send const &send);
+    void send_store_view(peer_report<store_view_report> const &send);
     void handle_datagram(std::string_view bytes);
+    void install_configuration_sharing();
+    void fetch_configuration(configuration_fetch const &fetch);
+    void handle_fetched_configuration(configuration_fetch const &fetch,
+                                      http_reply const &reply);
+    void keep_configuration(std::uint64_t version, std::string const &text);
     bool admits_request();
     void log(log_level level, std::string event,
              std::vector<std::pair<std::string, std::string>> fields);
@@ -89,6 +95,11 @@
     cache_reader caches_;
     row_client rows_;
     datagram_socket peers_;
+    http_server neighbours_;
+    /// Newest configuration, as the store sent it, for neighbours that the
+    /// store refuses.
+    std::uint64_t configuration_version_ = 0;
+    std::string configuration_text_;
     http_server readiness_;
     http_server metrics_;
     shutdown_wait shutdown_;
--- a/src/row_client.cpp
+++ b/src/row_client.cpp
@@ -19,6 +19,11 @@
 /// since the row is renewed regularly.
 constexpr duration write_timeout = seconds(2);
 
+/// Time after which a connection to the store counts as broken when its host
+/// acknowledges nothing, also while a long poll waits. Half of the time in
+/// which a daemon must know the store again.
+constexpr duration unresponsive_timeout = seconds(2);
+
 log_entry write_failure_entry(http_reply const &reply)
 {
     log_entry entry;
@@ -44,12 +49,18 @@
     auto request = codec_.encode_row_read(read);
     request.address = address_;
     request.total_timeout = read.timeout;
+    request.unresponsive_timeout = unresponsive_timeout;
     http_.send(request,
                [this, read](http_reply const &reply)
                {
                    auto decoded = codec_.decode_row_read(
                        read, reply.answered_status(), reply.body);
                    decoded.store_era = era_of(reply);
+                   if (decoded.configuration && on_configuration)
+                   {
+                       on_configuration(decoded.configuration->version,
+                                        reply.body);
+                   }
                    loop_.input().row_read_replies.push_back(std::move(decoded));
                });
 }
@@ -59,6 +70,7 @@
     auto request = codec_.encode_daemon_row(write);
     request.address = address_;
     request.total_timeout = write_timeout;
+    request.unresponsive_timeout = unresponsive_timeout;
     http_.send(request,
                [this](http_reply const &reply)
                {
--- a/src/row_client.hpp
+++ b/src/row_client.hpp
@@ -35,6 +35,10 @@
     /// Changes the address for later calls.
     void set_address(std::string address) { address_ = std::move(address); }
 
+    /// Called with the text of each reply that contains a configuration.
+    std::function<void(std::uint64_t version, std::string const &body)>
+        on_configuration;
+
     /// Called with the era in the reply to each write; 0 for none.
     std::function<void(std::uint64_t)> on_written_era;
 
--- a/src/store_view_state.hpp
+++ b/src/store_view_state.hpp
@@ -3,15 +3,80 @@
 
 #include "incarnation_deadlines.hpp"
 #include "row_messages.hpp"
+#include "store_view_report.hpp"
 #include "time.hpp"
 
 #include <array>
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace agateledge
 {
 
+/// Transit time of the datagrams of one sender, above the shortest one seen.
+/// The clocks of two hosts differ by an unknown constant, so that only
+/// differences can be measured.
+class transit_delay
+{
+public:
+    /// @param sent_at time of the send on the sender's clock
+    /// @return time for which the datagram was under way, or waited unread,
+    ///         longer than the fastest of the last minutes; nothing for the
+    ///         first one, whose time is unknown
+    std::optional<duration> add(duration sent_at, instant now);
+
+private:
+    std::optional<duration> shortest_;
+    std::optional<duration> shortest_before_;
+    instant period_began_at_{};
+};
+
+/// A daemon that sends views of the store.
+struct view_sender
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    transit_delay delay;
+};
+
+/// Change of an instance, kept for the reports to other daemons.
+struct view_change
+{
+    /// Version of the view before the read that showed the change.
+    std::uint64_t base = 0;
+    reported_instance instance;
+};
+
+/// Version of the view of the instances before one of the last reads.
+struct view_step
+{
+    std::uint64_t base = 0;
+    instant at{};
+};
+
+/// Fetch of the configuration from other daemons.
+struct neighbour_fetch
+{
+    /// Newest version that another daemon has announced, the daemon that did,
+    /// and when.
+    std::uint64_t announced_version = 0;
+    std::string announced_by;
+    instant announced_at{};
+    bool in_flight = false;
+    /// Neighbours asked one after the other without a result.
+    int attempts = 0;
+    instant next_attempt{};
+    /// The configuration that a neighbour sent; the next tick takes it over.
+    std::shared_ptr<routing_configuration const> received;
+    /// A daemon that starts asks its neighbours once before it is ready, since
+    /// the store may have returned from a copy with an older configuration.
+    bool start_check_done = false;
+};
+
 /// What a daemon knows of the store beyond the tables themselves.
 struct store_view_state
 {
@@ -24,6 +89,29 @@
     /// Incarnations whose rows announced that they drain. A copy of the store
     /// may show them as ready again.
     incarnation_deadlines drained;
+    /// Time as of which each table is known, from own reads and from reports.
+    std::array<instant, polled_table_count> known_at{};
+    std::array<instant, polled_table_count> read_sent_at{};
+    /// Long-poll wait of the read in flight, by table.
+    std::array<duration, polled_table_count> read_waits{};
+    /// This daemon reads the store for the others of its data centre.
+    bool is_reader = false;
+    /// Version of the instances before the changes of this tick.
+    std::uint64_t step_base = 0;
+    std::vector<view_step> steps;
+    std::vector<view_change> changes;
+    /// A read was answered in this tick.
+    bool has_news = false;
+    std::uint64_t sequence = 0;
+    std::map<std::string, view_sender> senders;
+    /// Daemons that are expected to read, with the last times at which they
+    /// were heard or at which they became expected.
+    std::map<std::string, instant> expected_readers;
+    instant next_reader_choice{};
+    neighbour_fetch fetch;
+    std::map<std::string, std::uint64_t> report_counts;
+    std::map<std::string, std::uint64_t> fetch_counts;
+    std::map<std::string, std::uint64_t> read_counts;
 };
 
 struct world;
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -13,6 +13,7 @@
 #include "record_instance_pauses.hpp"
 #include "record_leaving_instances.hpp"
 #include "record_request_limits.hpp"
+#include "share_store_reads.hpp"
 #include "stop_proxy.hpp"
 #include "track_engine_losses.hpp"
 #include "update_directory.hpp"
@@ -22,8 +23,10 @@
 
 void tick_proxy(world &w)
 {
+    receive_store_views(w);
     poll_store(w);
     update_directory(w);
+    share_store_reads(w);
     exchange_loads(w);
     record_leaving_instances(w);
     record_instance_pauses(w);
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -3,11 +3,13 @@
 #include "follow_store_era.hpp"
 #include "log_proxied_request.hpp"
 #include "poll_schedule.hpp"
+#include "share_store_reads.hpp"
 #include "store_view_state.hpp"
 #include "world.hpp"
 
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -32,19 +34,10 @@
         log_proxied_request(w, log_level::error, "configuration_unreadable",
                             {{"fault", reply.fault}});
     }
-    if (!reply.configuration ||
-        reply.configuration->version <= w.proxy.routing->version)
+    if (reply.configuration)
     {
-        return;
+        put_configuration_in_force(w, reply.configuration, "store");
     }
-    auto const before = w.proxy.routing->version;
-    w.proxy.set_routing(reply.configuration);
-    log_proxied_request(
-        w, log_level::info, "configuration_in_force",
-        {{"version", std::to_string(reply.configuration->version)},
-         {"before", std::to_string(before)},
-         {"routes", std::to_string(reply.configuration->routes.size())},
-         {"store_version", std::to_string(reply.version)}});
 }
 
 void log_instance(world &w, std::string event, instance_state const &instance)
@@ -61,16 +54,31 @@
          {"row_version", std::to_string(instance.row_version)}});
 }
 
-void remove_instance(world &w, std::string const &id)
+/// @return version up to which changes of the instances have been read
+std::uint64_t instances_version(world const &w)
+{
+    return w.proxy.table_polls
+        .at(static_cast<std::size_t>(polled_table::instances))
+        .version;
+}
+
+/// @param version version as of which the instance is gone
+void remove_instance(world &w, std::string const &id, std::uint64_t version)
 {
     auto const *instance = w.proxy.instances.find(id);
     if (instance != nullptr)
     {
         log_instance(w, "instance_gone", *instance);
         w.proxy.instances.erase(id);
+        record_instance_change(w, id, version, std::nullopt);
     }
 }
 
+void remove_instance(world &w, std::string const &id)
+{
+    remove_instance(w, id, instances_version(w));
+}
+
 /// @return true when the store has recovered within `missing_row_grace`, so
 ///         that rows may be missing because they could not be renewed
 bool in_missing_row_grace(world const &w)
@@ -139,6 +147,7 @@
     auto const &state = w.proxy.instances.put(definition, row.row_version);
     if (changed)
     {
+        record_instance_change(w, row.id, row.row_version, definition);
         log_instance(
             w, definition.accepts_work ? "instance_listed" : "instance_leaving",
             state);
@@ -265,6 +274,38 @@
 
 } // namespace
 
+bool put_configuration_in_force(
+    world &w, std::shared_ptr<routing_configuration const> const &next,
+    std::string const &source)
+{
+    auto const before = w.proxy.routing->version;
+    if (next->version <= before)
+    {
+        return false;
+    }
+    w.proxy.set_routing(next);
+    log_proxied_request(w, log_level::info, "configuration_in_force",
+                        {{"version", std::to_string(next->version)},
+                         {"before", std::to_string(before)},
+                         {"routes", std::to_string(next->routes.size())},
+                         {"source", source}});
+    return true;
+}
+
+void apply_reported_row(world &w, instance_row const &row)
+{
+    if (row.instance)
+    {
+        apply_instance_row(w, row);
+        return;
+    }
+    auto const *known = w.proxy.instances.find(row.id);
+    if (known != nullptr && known->row_version <= row.row_version)
+    {
+        remove_instance(w, row.id, row.row_version);
+    }
+}
+
 void update_directory(world &w)
 {
     for (auto const &reply : w.in.row_read_replies)
--- a/test/error/operations_page_test.cpp
+++ b/test/error/operations_page_test.cpp
@@ -41,7 +41,7 @@
           "update_directory.cpp", "poll_store.cpp", "eject_instances.cpp",
           "place_proxied_requests.cpp", "proxy_lifecycle.cpp", "stop_proxy.cpp",
           "record_leaving_instances.cpp", "record_instance_pauses.cpp",
-          "follow_store_era.cpp"})
+          "follow_store_era.cpp", "share_store_reads.cpp"})
     {
         for (auto const &name : matches(text_of(root / "src" / file), event))
         {
