Release connections that clients close after a request

Cause: libsoup 3.2.3 never releases a connection that ends where the head of a second or later request is expected. The daemon counted it as open until it refused every new one. Change: the guarded stream replaces the missing head by one that libsoup refuses, which makes it release the connection. Writing is shut down before, so the peer does not get that answer.

--- a/src/guarded_stream.cpp
+++ b/src/guarded_stream.cpp
@@ -96,7 +96,12 @@
             if (count <= 0)
             {
                 burst_bytes = 0;
-                return count;
+                if (!is_end(count, error) || !end_requests())
+                {
+                    return count;
+                }
+                g_clear_error(error);
+                continue;
             }
             burst_bytes += static_cast<std::size_t>(count);
             framing.add({bytes.data(), static_cast<std::size_t>(count)}, ready);
@@ -104,6 +109,27 @@
         return take(buffer, size);
     }
 
+    static bool is_end(gssize count, GError **error)
+    {
+        return count == 0 ||
+               (error != nullptr &&
+                !g_error_matches(*error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK));
+    }
+
+    /// @return true when bytes were added that make libsoup release the
+    ///         connection; its answer to them does not reach the peer
+    bool end_requests()
+    {
+        framing.end(ready);
+        if (has_ready_bytes() && G_IS_SOCKET_CONNECTION(base.get()))
+        {
+            g_socket_shutdown(
+                g_socket_connection_get_socket(G_SOCKET_CONNECTION(base.get())),
+                FALSE, TRUE, nullptr);
+        }
+        return has_ready_bytes();
+    }
+
     bool is_readable() const
     {
         return has_ready_bytes() || framing.malformed() ||
--- a/src/request_framing.cpp
+++ b/src/request_framing.cpp
@@ -124,11 +124,21 @@
         if (message_->is_done())
         {
             message_ = std::make_unique<message>();
+            passed_request_ = true;
         }
     }
     return parsed;
 }
 
+void request_framing::end(std::string &out)
+{
+    if (!malformed_ && passed_request_ && !message_->is_header_done())
+    {
+        out += refused_head;
+        passed_request_ = false;
+    }
+}
+
 void request_framing::add(std::string_view bytes, std::string &out)
 {
     if (malformed_)
--- a/src/request_framing.hpp
+++ b/src/request_framing.hpp
@@ -27,6 +27,14 @@
     /// @param out receives the bytes that are passed on
     void add(std::string_view bytes, std::string &out);
 
+    /// Ends the bytes of the connection. A head that is missing after an
+    /// earlier request is replaced by one that every HTTP parser refuses:
+    /// libsoup 3.2 never releases a connection that ends there, but releases it
+    /// when it refuses a request.
+    ///
+    /// @param out receives the bytes that are passed on
+    void end(std::string &out);
+
     /// @return true when the bytes of the connection are not valid requests;
     ///         nothing is passed on any more
     bool malformed() const { return malformed_; }
@@ -47,6 +55,7 @@
     std::string pending_;
     /// Parsed bytes of a head that is not complete.
     std::string head_;
+    bool passed_request_ = false;
     bool malformed_ = false;
     bool malformed_body_ = false;
 };
