Hold request bodies in blocks and count what is allocated

Cause: libsoup keeps every received piece of a body as an object of its own, and only the payload was counted, of bodies that were not complete. Change: exchange_server collects bodies in block_text and counts its memory. Bodies that are being received may take an eighth of the host's memory, together with complete ones of open requests a quarter. Bodies without a byte for 1 s are refused first, then those of the client address that holds the most. Guarded streams free their buffers when nothing waits in them.

--- a/src/caller_listener.cpp
+++ b/src/caller_listener.cpp
@@ -204,8 +204,8 @@
 void caller_listener::accept_completion(caller_exchange &exchange,
                                         completion_kind kind)
 {
-    auto request = parse_model_request(kind, request_body(exchange.message()),
-                                       exchange.caller);
+    auto request =
+        parse_model_request(kind, server_.take_body(exchange), exchange.caller);
     if (!request.ok())
     {
         auto const message = request.status().message();
@@ -275,7 +275,7 @@
         return;
     }
     arrival.body =
-        std::make_shared<std::string const>(request_body(exchange.message()));
+        std::make_shared<std::string const>(server_.take_body(exchange));
     exchange.await_answer({});
     submit(exchange, std::move(arrival));
 }
--- a/src/choose_messages_to_drop.cpp
+++ b/src/choose_messages_to_drop.cpp
@@ -21,10 +21,20 @@
     std::vector<std::pair<std::size_t, std::size_t>> sizes;
 };
 
-/// Chooses among the messages with, or without, a declared length.
+/// Order in which messages are given up; lower ranks go first.
+int rank_of(held_message const &message)
+{
+    if (message.stalled)
+    {
+        return 0;
+    }
+    return message.has_length ? 2 : 1;
+}
+
+/// Chooses among the messages of one rank.
 ///
 /// @param total bytes of all messages that stay; reduced by each choice
-void drop_some(std::vector<held_message> const &messages, bool has_length,
+void drop_some(std::vector<held_message> const &messages, int rank,
                std::size_t limit, std::size_t &total,
                std::vector<std::size_t> &dropped)
 {
@@ -32,7 +42,7 @@
     for (std::size_t i = 0; i < messages.size(); ++i)
     {
         auto const &message = messages[i];
-        if (message.has_length == has_length)
+        if (rank_of(message) == rank)
         {
             auto &sender = senders[message.sender];
             sender.bytes += message.bytes;
@@ -71,8 +81,10 @@
                         [](std::size_t sum, held_message const &message)
                         { return sum + message.bytes; });
     std::vector<std::size_t> out;
-    drop_some(messages, false, limit, total, out);
-    drop_some(messages, true, limit, total, out);
+    for (int const rank : {0, 1, 2})
+    {
+        drop_some(messages, rank, limit, total, out);
+    }
     return out;
 }
 
--- a/src/choose_messages_to_drop.hpp
+++ b/src/choose_messages_to_drop.hpp
@@ -17,12 +17,15 @@
     std::size_t bytes = 0;
     /// The sender has declared the length of the message.
     bool has_length = false;
+    /// Nothing of the message has arrived for some time.
+    bool stalled = false;
 
     auto operator<=>(held_message const &) const = default;
 };
 
 /// Chooses the messages to give up so that the others fit into a limit.
-/// Messages without a declared length go first, because they may be endless.
+/// Stalled messages go first, because they may never end; then messages without
+/// a declared length, because they may be endless.
 /// Each choice is the largest message of the sender whose messages take the
 /// most memory, so that a faulty sender does not displace messages of others.
 ///
--- a/src/exchange_server.hpp
+++ b/src/exchange_server.hpp
@@ -1,8 +1,10 @@
 #ifndef AGATELEDGE_EXCHANGE_SERVER_HPP
 #define AGATELEDGE_EXCHANGE_SERVER_HPP
 
+#include "block_text.hpp"
 #include "choose_messages_to_drop.hpp"
 #include "connection_acceptor.hpp"
+#include "daemon_loop.hpp"
 #include "gobject_ptr.hpp"
 #include "server_message.hpp"
 #include "settings.hpp"
@@ -25,6 +27,10 @@
 /// Time within which a caller must read some of the bytes buffered for it.
 constexpr duration reader_timeout = seconds(30);
 
+/// Time without a byte after which a body that is not complete is given up
+/// before others; clients within their limits send one in much less time.
+constexpr duration stalled_body_time = seconds(1);
+
 /// HTTP server of one listener. Keeps an `Exchange` for each request, from its
 /// start to the end of its answer, and calls the listener's handlers as it
 /// progresses.
@@ -62,7 +68,8 @@
         : server_(soup_server_new("server-header", server_header, "raw-paths",
                                   TRUE, nullptr)),
           acceptor_(server_.get(), limits),
-          max_received_bytes_(limits.memory.request_bytes())
+          max_receiving_bytes_(limits.memory.request_bytes()),
+          max_body_bytes_(2 * limits.memory.request_bytes())
     {
         g_signal_connect(server_.get(), "request-started", G_CALLBACK(started),
                          this);
@@ -74,7 +81,7 @@
 
     ~exchange_server()
     {
-        for (auto const &[message, exchange] : exchanges_)
+        for (auto const &[message, item] : exchanges_)
         {
             g_signal_handlers_disconnect_by_data(message, this);
         }
@@ -94,6 +101,16 @@
         return soup_server_message_get_remote_address(exchange.message());
     }
 
+    /// @return body of a request that was received completely; it counts as
+    /// held
+    ///         until the exchange ends, because the daemon keeps it
+    std::string take_body(Exchange const &exchange)
+    {
+        auto const found = exchanges_.find(exchange.message());
+        return found == exchanges_.end() ? std::string()
+                                         : found->second.body.take();
+    }
+
     /// Counts bytes of a request body and enforces its limit. A body over the
     /// limit is read and discarded up to a multiple of it, so that the caller
     /// can read the error; beyond that the connection is shut down.
@@ -106,11 +123,6 @@
     {
         constexpr std::int64_t discarded_body_factor = 4;
         exchange.body_bytes += bytes;
-        uncounted_bytes_ += static_cast<std::size_t>(bytes);
-        if (counted_bytes_ + uncounted_bytes_ > max_received_bytes_)
-        {
-            refuse_over_memory();
-        }
         if (exchange.body_bytes > max_bytes && !exchange.answered())
         {
             discard_request_body(exchange.message());
@@ -124,6 +136,15 @@
     }
 
 private:
+    struct held_exchange
+    {
+        std::unique_ptr<Exchange> exchange;
+        block_text body;
+        /// Memory of the body; it stays after the body was taken.
+        std::size_t held_bytes = 0;
+        instant progress_at{};
+    };
+
     static exchange_server &server_of(gpointer self)
     {
         return *static_cast<exchange_server *>(self);
@@ -145,11 +166,7 @@
     static void got_chunk(SoupServerMessage *message, GBytes *chunk,
                           gpointer self)
     {
-        if (auto *exchange = server_of(self).find(message))
-        {
-            server_of(self).handlers.on_body(
-                *exchange, static_cast<std::int64_t>(g_bytes_get_size(chunk)));
-        }
+        server_of(self).receive(message, chunk);
     }
 
     static void wrote(SoupServerMessage *message, guint bytes, gpointer self)
@@ -171,7 +188,7 @@
         auto &server = server_of(self);
         if (auto *exchange = server.find(message))
         {
-            server.receiving_.erase(message);
+            server.finish_receiving(message);
             server.handlers.on_request(*exchange, path);
         }
     }
@@ -179,13 +196,17 @@
     Exchange *find(SoupServerMessage *message)
     {
         auto const found = exchanges_.find(message);
-        return found == exchanges_.end() ? nullptr : found->second.get();
+        return found == exchanges_.end() ? nullptr
+                                         : found->second.exchange.get();
     }
 
     void begin(SoupServerMessage *message)
     {
-        exchanges_.emplace(message, std::make_unique<Exchange>(message));
+        exchanges_[message].exchange = std::make_unique<Exchange>(message);
         receiving_.insert(message);
+        // libsoup would keep each piece that was received separately.
+        soup_message_body_set_accumulate(
+            soup_server_message_get_request_body(message), FALSE);
         by_connection_.insert_or_assign(
             soup_server_message_get_remote_address(message), message);
         g_signal_connect(message, "got-headers", G_CALLBACK(got_headers), this);
@@ -204,18 +225,67 @@
         {
             return;
         }
-        handlers.on_end(*found->second);
+        handlers.on_end(*found->second.exchange);
         auto const connection =
-            by_connection_.find(connection_of(*found->second));
+            by_connection_.find(connection_of(*found->second.exchange));
         if (connection != by_connection_.end() && connection->second == message)
         {
             by_connection_.erase(connection);
         }
         g_signal_handlers_disconnect_by_data(message, this);
-        receiving_.erase(message);
+        if (receiving_.erase(message) != 0)
+        {
+            receiving_bytes_ -= found->second.held_bytes;
+        }
+        body_bytes_ -= found->second.held_bytes;
         exchanges_.erase(found);
     }
 
+    void receive(SoupServerMessage *message, GBytes *chunk)
+    {
+        auto const found = exchanges_.find(message);
+        if (found == exchanges_.end())
+        {
+            return;
+        }
+        auto &item = found->second;
+        gsize size = 0;
+        auto const *bytes =
+            static_cast<char const *>(g_bytes_get_data(chunk, &size));
+        handlers.on_body(*item.exchange, static_cast<std::int64_t>(size));
+        if (item.exchange->answered())
+        {
+            item.body.clear();
+        }
+        else
+        {
+            item.body.append({bytes, size});
+            item.progress_at = daemon_loop::clock_now();
+        }
+        set_held_bytes(item, item.body.capacity());
+        if (receiving_bytes_ > max_receiving_bytes_ ||
+            body_bytes_ > max_body_bytes_)
+        {
+            refuse_over_memory();
+        }
+    }
+
+    /// Sets the memory of a body that is being received.
+    void set_held_bytes(held_exchange &item, std::size_t bytes)
+    {
+        receiving_bytes_ += bytes - item.held_bytes;
+        body_bytes_ += bytes - item.held_bytes;
+        item.held_bytes = bytes;
+    }
+
+    void finish_receiving(SoupServerMessage *message)
+    {
+        if (receiving_.erase(message) != 0)
+        {
+            receiving_bytes_ -= exchanges_.at(message).held_bytes;
+        }
+    }
+
     void peer_closed(connection_acceptor::connection_key key)
     {
         auto const found = by_connection_.find(key);
@@ -227,48 +297,55 @@
         }
     }
 
-    /// Counts the bodies that are being received, and refuses requests while
-    /// they take more memory than allowed.
+    /// Refuses requests whose bodies are being received until the bodies fit
+    /// into their limits.
     void refuse_over_memory()
     {
-        std::vector<Exchange *> exchanges;
+        auto const stalled_since = daemon_loop::clock_now() - stalled_body_time;
+        std::vector<held_exchange *> items;
         std::vector<held_message> messages;
-        counted_bytes_ = 0;
-        uncounted_bytes_ = 0;
         for (auto *message : receiving_)
         {
-            auto *exchange = find(message);
-            if (exchange->answered())
+            auto &item = exchanges_.at(message);
+            if (item.held_bytes != 0)
             {
-                continue;
+                items.push_back(&item);
+                messages.push_back({remote_host(message), item.held_bytes,
+                                    has_declared_length(message),
+                                    item.progress_at < stalled_since});
             }
-            auto const bytes = static_cast<std::size_t>(exchange->body_bytes);
-            counted_bytes_ += bytes;
-            exchanges.push_back(exchange);
-            messages.push_back(
-                {remote_host(message), bytes, has_declared_length(message)});
         }
         std::ranges::for_each(
-            choose_messages_to_drop(messages, max_received_bytes_),
+            choose_messages_to_drop(messages, receiving_limit()),
             [&](std::size_t index)
             {
-                auto &exchange = *exchanges.at(index);
-                discard_request_body(exchange.message());
-                handlers.on_memory_exhausted(exchange);
-                close_after_answer(exchange.message());
+                auto &item = *items.at(index);
+                item.body.clear();
+                set_held_bytes(item, 0);
+                handlers.on_memory_exhausted(*item.exchange);
+                close_after_answer(item.exchange->message());
             });
     }
 
+    /// @return limit of the bodies that are being received, beside the complete
+    ///         ones; some room is left below it, because each choice looks at
+    ///         all bodies
+    std::size_t receiving_limit() const
+    {
+        auto const complete = body_bytes_ - receiving_bytes_;
+        auto const left = max_body_bytes_ - std::min(max_body_bytes_, complete);
+        return std::min(left, max_receiving_bytes_) / 8 * 7;
+    }
+
     gobject_ptr<SoupServer> server_;
     connection_acceptor acceptor_;
-    std::size_t max_received_bytes_;
-    /// Bytes of the bodies that were being received at the last count, and
-    /// bytes received since then.
-    std::size_t counted_bytes_ = 0;
-    std::size_t uncounted_bytes_ = 0;
+    std::size_t max_receiving_bytes_;
+    std::size_t max_body_bytes_;
+    /// Memory of the bodies that are being received, and of all bodies.
+    std::size_t receiving_bytes_ = 0;
+    std::size_t body_bytes_ = 0;
     std::unordered_set<SoupServerMessage *> receiving_;
-    std::unordered_map<SoupServerMessage *, std::unique_ptr<Exchange>>
-        exchanges_;
+    std::unordered_map<SoupServerMessage *, held_exchange> exchanges_;
     std::unordered_map<connection_acceptor::connection_key, SoupServerMessage *>
         by_connection_;
 };
--- a/src/guarded_stream.cpp
+++ b/src/guarded_stream.cpp
@@ -52,7 +52,8 @@
         ready_begin += count;
         if (!has_ready_bytes())
         {
-            ready.clear();
+            // Connections without bytes keep no buffer.
+            ready = std::string();
             ready_begin = 0;
         }
         return static_cast<gssize>(count);
--- a/src/proxy_listener.cpp
+++ b/src/proxy_listener.cpp
@@ -168,7 +168,8 @@
     received.target = path + request_query(message);
     received.headers =
         headers_from(soup_server_message_get_request_headers(message));
-    received.body = std::make_shared<std::string const>(request_body(message));
+    received.body =
+        std::make_shared<std::string const>(server_->take_body(item));
     auto request = codec_.decode_request(received);
     if (!request.ok())
     {
--- a/src/request_framing.cpp
+++ b/src/request_framing.cpp
@@ -115,7 +115,7 @@
         if (message_->is_header_done())
         {
             out += head_;
-            head_.clear();
+            head_ = std::string();
         }
         if (need_more)
         {
--- a/src/server_message.cpp
+++ b/src/server_message.cpp
@@ -25,17 +25,6 @@
     return query == nullptr ? std::string() : "?" + std::string(query);
 }
 
-std::string request_body(SoupServerMessage *message)
-{
-    GBytes *bytes = soup_message_body_flatten(
-        soup_server_message_get_request_body(message));
-    gsize size = 0;
-    auto const *data = g_bytes_get_data(bytes, &size);
-    std::string text(static_cast<char const *>(data), size);
-    g_bytes_unref(bytes);
-    return text;
-}
-
 std::string remote_host(SoupServerMessage *message)
 {
     auto const *host = soup_server_message_get_remote_host(message);
--- a/src/server_message.hpp
+++ b/src/server_message.hpp
@@ -16,9 +16,6 @@
 ///         for none
 std::string request_query(SoupServerMessage *message);
 
-/// @return body of a request that was received completely
-std::string request_body(SoupServerMessage *message);
-
 /// @return IP address of the client
 std::string remote_host(SoupServerMessage *message);
 
--- a/test/support/crowd_support.py
+++ b/test/support/crowd_support.py
@@ -74,6 +74,8 @@
         if attempt is None:
             self.answer(b'{"epoch":1,"next":0,"lost":false,"events":[]}')
             return
+        if path.endswith("/slow"):
+            time.sleep(3)
         content = (self.long_answer if path.endswith("/long")
                    else b"%d bytes" % len(body))
         self.answer(content, (
@@ -207,7 +209,8 @@
             pass
         return client
 
-    def crowd(self, count, data, address=None, receive_buffer=None):
+    def crowd(self, count, data, address=None, receive_buffer=None,
+              wait_s=1):
         """`count` clients send `data` at the same time and stay."""
         def send():
             client = self.connect(address, receive_buffer)
@@ -221,7 +224,7 @@
         while any(thread.is_alive() for thread in threads):
             self.check()
             time.sleep(0.1)
-        for _ in range(10):
+        for _ in range(int(wait_s * 10)):
             self.check()
             time.sleep(0.1)
 
