Replace ordinary engines by reclaimable ones before the load is known

Cause: nothing was ordered until the load had been known for 8 s, and no engine was removed while more than 2% of the requests were late, which in a burst is always so. Change: while the load is unknown, the total is kept and ordinary engines are replaced as far as the reclaim of one data centre leaves as much as its loss would. Late requests only forbid to lower the total. Engines that serve count before cheaper ones elsewhere.

--- a/src/plan_capacity.cpp
+++ b/src/plan_capacity.cpp
@@ -32,7 +32,7 @@
 /// Share of a service's serving engines that one order removes at most, and the
 /// time until the next one. The directory is read about every 1.7 s, so each
 /// order is planned from the effect of the previous one.
-constexpr double max_removed_share = 0.1;
+constexpr double max_removed_share = 0.2;
 constexpr duration removal_interval = seconds(2);
 
 /// Minimum times between opposite orders of a group. An engine that is ordered
@@ -57,7 +57,7 @@
 /// Role mix that is assumed while no engine serves.
 constexpr double usual_prefill_share = 0.35;
 
-/// Above this share of late and refused requests no engine is removed.
+/// Above this share of late and refused requests the total is not lowered.
 constexpr double max_failing_share = 0.02;
 
 /// Above this share, with at least this utilisation by the mean load, the speed
@@ -425,6 +425,9 @@
     auto const events = scenarios_of(view, need);
     number_builder builder(view, cheapest_numbers(view, need.engines));
     builder.fill_minimum();
+    // Engines that serve or are coming first: a cheaper one elsewhere would be
+    // paid for beside them until they have drained.
+    builder.meet({events.front()}, false);
     builder.meet({events.front()}, true);
     // After a reclaim, none can be ordered for some seconds. Other engines
     // would be the reserve for a short time only, unless the shortage lasts.
@@ -592,15 +595,26 @@
     auto const step = std::max(
         static_cast<int>(max_removed_share * serving_engines(view).total()), 1);
     auto removed = std::min(serving - target, step);
-    while (removed > 0 && !can_remove(view, events, index, removed))
+    while (removed > 0 && !(may_lower_total(view, removed) &&
+                            can_remove(view, events, index, removed)))
     {
         --removed;
     }
     return removed;
 }
 
-void add_removal(capacity_view const &view, requirement const &need,
-                 group_numbers const &target, capacity_plan &plan)
+/// @return true when the total may be lowered by `removed` engines: while
+///         requests fail, only engines go whose replacements serve
+bool may_lower_total(capacity_view const &view, int removed)
+{
+    bool const fails =
+        !view.load || view.load->failing_share > max_failing_share;
+    return !fails || serving_engines(view).total() - removed >= view.held_total;
+}
+
+void add_removal(capacity_view const &view, std::vector<scenario> const &events,
+                 group_numbers const &target, order_reason reason,
+                 capacity_plan &plan)
 {
     bool const waits =
         std::any_of(view.groups.begin(), view.groups.end(),
@@ -609,7 +623,7 @@
                         return group.lowered_at &&
                                view.now < *group.lowered_at + removal_interval;
                     });
-    if (waits || view.load->failing_share > max_failing_share)
+    if (waits)
     {
         return;
     }
@@ -620,7 +634,6 @@
                          return price_of(view, view.groups[a]) >
                                 price_of(view, view.groups[b]);
                      });
-    auto const events = scenarios_of(view, need);
     for (auto const index : by_price)
     {
         auto const removed =
@@ -628,8 +641,7 @@
         if (removed > 0)
         {
             auto const left = view.groups[index].serving.total() - removed;
-            plan.orders.push_back(
-                order_for(view, index, left, {order_reason::surplus}));
+            plan.orders.push_back(order_for(view, index, left, {reason}));
             return;
         }
     }
@@ -684,7 +696,49 @@
     }
     if (out.orders.empty())
     {
-        add_removal(view, need, target, out);
+        add_removal(view, scenarios_of(view, need), target,
+                    order_reason::surplus, out);
+    }
+    return out;
+}
+
+/// Replaces ordinary engines by reclaimable ones while the load is not known.
+/// The total is kept. The deployment bears the loss of one data centre, so what
+/// the reclaim of one leaves suffices if it is as much.
+capacity_plan plan_to_replace(capacity_view const &view)
+{
+    capacity_plan out;
+    auto const pairs = pairs_by_price(view);
+    auto const data_centres = static_cast<int>(pairs.size());
+    if (!reclaimable_pays(view.limits) || data_centres < 2)
+    {
+        return out;
+    }
+    std::vector<scenario> events{{"", false, view.held_total, 0}};
+    auto const left = view.held_total * (data_centres - 1) / data_centres;
+    auto const expected = expected_numbers(view);
+    auto target = expected;
+    for (auto const &pair : pairs)
+    {
+        auto const &ordinary = view.groups[pair.ordinary];
+        auto const all = ordinary.held + view.groups[pair.reclaimable].held;
+        auto const kept = static_cast<int>(std::ceil(ordinary_share * all));
+        target[pair.ordinary] = std::min(expected[pair.ordinary], kept);
+        target[pair.reclaimable] =
+            std::max(expected[pair.reclaimable], all - kept);
+        events.push_back({ordinary.data_centre, true, left, 0});
+        auto const &group = view.groups[pair.reclaimable];
+        auto const engines = std::min(target[pair.reclaimable],
+                                      room_for(view, pair.reclaimable));
+        if (engines > expected[pair.reclaimable] && may_rise(view, group))
+        {
+            out.orders.push_back(order_for(view, pair.reclaimable, engines,
+                                           {order_reason::cheaper}));
+        }
+    }
+    if (out.orders.empty())
+    {
+        add_removal(view, events, target, order_reason::cheaper, out);
     }
     return out;
 }
@@ -760,7 +814,12 @@
     {
         return {};
     }
-    return view.load ? plan_for_load(view) : plan_to_hold(view);
+    if (view.load)
+    {
+        return plan_for_load(view);
+    }
+    auto const plan = plan_to_hold(view);
+    return plan.orders.empty() ? plan_to_replace(view) : plan;
 }
 
 } // namespace agateledge
