Authenticate proxied requests by the keys of client accounts

Cause: a deployment with client accounts needs their keys checked, and engines that are told the account; until now headers passed unchanged. Change: account_directory decodes the accounts of a version, with hashes only. A request without a known key gets 401 unless its route is public; 503 stays while no configuration is known and 404 for an unknown route. The key and any account header of the caller are replaced by the account's name. The account's priority takes the place of the route's. When a version drops a key, waiting requests with it of which no call has run are refused; running ones continue. key_directory is the one key lookup of both front ends. Of a new version only new keys are hashed.

--- a/harness/proxy_fixture.cpp
+++ b/harness/proxy_fixture.cpp
@@ -63,6 +63,8 @@
                       std::back_inserter(all.peer_load_reports));
     std::ranges::move(part.part_evidence_reports,
                       std::back_inserter(all.part_evidence_reports));
+    std::ranges::move(part.account_load_reports,
+                      std::back_inserter(all.account_load_reports));
     std::ranges::move(part.log_entries, std::back_inserter(all.log_entries));
     all.shutdown_complete |= part.shutdown_complete;
 }
@@ -217,6 +219,7 @@
     content.body = std::make_shared<std::string const>("{}");
     content.caller_timeout = seconds(5);
     content.prompt = prompt;
+    content.credential = credential;
     proxy_arrival arrival;
     arrival.request = request_number(last_request_);
     arrival.content = std::make_shared<proxy_request const>(std::move(content));
--- a/harness/proxy_fixture.hpp
+++ b/harness/proxy_fixture.hpp
@@ -74,6 +74,8 @@
     void reply_ends(attempt_number attempt, proxy_event_kind kind);
 
     world state;
+    /// Credential of the following requests, as sent in their header.
+    std::string credential;
 
 private:
     request_number arrive(std::string const &path,
--- a/src/admit_proxied_requests.cpp
+++ b/src/admit_proxied_requests.cpp
@@ -1,5 +1,6 @@
 #include "admit_proxied_requests.hpp"
 
+#include "authenticate_proxied_requests.hpp"
 #include "log_proxied_request.hpp"
 #include "proxy_lifecycle.hpp"
 #include "stop_proxy.hpp"
@@ -67,6 +68,10 @@
             known ? std::nullopt : std::optional(unready_retry_after));
         return;
     }
+    if (!authenticate_proxied_request(w, request))
+    {
+        return;
+    }
     if (admission_closed(w))
     {
         refuse_while_stopping(w, arrival.request);
@@ -123,6 +128,7 @@
 
 void admit_proxied_requests(world &w)
 {
+    refuse_withdrawn_keys(w);
     std::ranges::for_each(w.in.proxy_arrivals,
                           [&w](proxy_arrival const &arrival)
                           { admit(w, arrival); });
--- a/src/caller_directory.hpp
+++ b/src/caller_directory.hpp
@@ -2,11 +2,11 @@
 #define AGATELEDGE_CALLER_DIRECTORY_HPP
 
 #include "configuration.hpp"
+#include "key_directory.hpp"
 
-#include <cstdint>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <vector>
 
 namespace agateledge
 {
@@ -23,22 +23,13 @@
     std::string authenticate(std::string_view authorization) const;
 
 private:
-    struct entry
-    {
-        std::string token_sha256;
-        std::string name;
-    };
-
     bool loaded_ = false;
     revision_number revision_;
-    /// Keyed by the first 64 bits of the hash; the complete hash is compared in
-    /// constant time.
-    std::unordered_multimap<std::uint64_t, entry> callers_;
+    key_directory keys_;
+    /// Names of the owners of `keys_`.
+    std::vector<std::string> names_;
 };
 
-/// @return SHA-256 of `text` in lower-case hexadecimal
-std::string sha256_of(std::string_view text);
-
 } // namespace agateledge
 
 #endif
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -61,9 +61,13 @@
     if (request.content->prompt)
     {
         call.priority = background ? least_urgent_priority
-                                   : std::clamp(request.route->priority, 0,
+                                   : std::clamp(request.priority, 0,
                                                 least_urgent_priority - 1);
     }
+    if (w.proxy.routing->accounts || !request.account.empty())
+    {
+        call.account = request.account;
+    }
     if (request.retained_prefill)
     {
         call.kv_source_address = request.retained_prefill->address;
@@ -331,7 +335,7 @@
     std::ranges::stable_sort(
         due, {},
         [&w](request_number number)
-        { return w.proxy.requests.find(number)->route->priority; });
+        { return w.proxy.requests.find(number)->priority; });
     queued_work queued;
     for (auto const number : due)
     {
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -1,5 +1,6 @@
 #include "update_directory.hpp"
 
+#include "account_directory.hpp"
 #include "log_proxied_request.hpp"
 #include "poll_schedule.hpp"
 #include "world.hpp"
@@ -23,6 +24,21 @@
 /// row means that the instance was removed.
 constexpr double min_missing_share_in_outage = 1.0 / 3;
 
+/// @return numbers of accounts and keys, for the log; none when the
+///         configuration has no accounts
+log_fields account_fields(routing_configuration const &config)
+{
+    if (!config.accounts)
+    {
+        return {};
+    }
+    auto const &accounts = *config.accounts;
+    return {{"accounts", std::to_string(accounts.accounts().size())},
+            {"keys", std::to_string(accounts.keys())},
+            {"new_keys", std::to_string(accounts.hashed_keys())},
+            {"repeated_keys", std::to_string(accounts.repeated_keys())}};
+}
+
 void apply_configuration_row(world &w, row_read_reply const &reply)
 {
     if (!reply.fault.empty())
@@ -37,12 +53,15 @@
     }
     auto const before = w.proxy.routing->version;
     w.proxy.set_routing(reply.configuration);
-    log_proxied_request(
-        w, log_level::info, "configuration_in_force",
-        {{"version", std::to_string(reply.configuration->version)},
-         {"before", std::to_string(before)},
-         {"routes", std::to_string(reply.configuration->routes.size())},
-         {"store_version", std::to_string(reply.version)}});
+    log_fields fields{
+        {"version", std::to_string(reply.configuration->version)},
+        {"before", std::to_string(before)},
+        {"routes", std::to_string(reply.configuration->routes.size())},
+        {"store_version", std::to_string(reply.version)}};
+    std::ranges::move(account_fields(*reply.configuration),
+                      std::back_inserter(fields));
+    log_proxied_request(w, log_level::info, "configuration_in_force",
+                        std::move(fields));
 }
 
 void log_instance(world &w, std::string event, instance_state const &instance)
--- a/test/error/operations_page_test.cpp
+++ b/test/error/operations_page_test.cpp
@@ -40,7 +40,8 @@
          {"admit_proxied_requests.cpp", "advance_proxied_requests.cpp",
           "update_directory.cpp", "poll_store.cpp", "eject_instances.cpp",
           "place_proxied_requests.cpp", "proxy_lifecycle.cpp", "stop_proxy.cpp",
-          "record_leaving_instances.cpp", "record_instance_pauses.cpp"})
+          "record_leaving_instances.cpp", "record_instance_pauses.cpp",
+          "authenticate_proxied_requests.cpp"})
     {
         for (auto const &name : matches(text_of(root / "src" / file), event))
         {
@@ -53,7 +54,7 @@
 TEST(operations_page, names_of_the_platform_stay_in_their_folder)
 {
     std::regex const name(
-        R"re(("(?:AGATELEDGE_BOOT|Attempt-Id|Deadline-Ms|Prompt-Prefix|Token-Count|Target-Instance|Server-Signature|Not-Executed|Server-Leaving|Kv-Source|Request-Priority|/v1/rows-[a-z]+|/v1/kv-handle[^"]*|kv_handle|route_type|traffic_split)[^"]*"))re");
+        R"re(("(?:AGATELEDGE_BOOT|Attempt-Id|Deadline-Ms|Prompt-Prefix|Token-Count|Target-Instance|Server-Signature|Not-Executed|Server-Leaving|Kv-Source|Request-Priority|Tenant|api_keys|/v1/rows-[a-z]+|/v1/kv-handle[^"]*|kv_handle|route_type|traffic_split)[^"]*"))re");
     for (auto const &entry : std::filesystem::directory_iterator(root / "src"))
     {
         auto const found = matches(text_of(entry.path()), name);
