Divide a scarce service between client accounts

Cause: under overload one large account, or a client that retries at once, takes the capacity from all others: requests were served by priority and arrival. Change: account_shares decides, without clock or network: order by priority, time and fair queueing over recent work; max-min fair level; share of requests admitted above it; Retry-After. Requests are refused for an account's share only while a request of another account within its share is not served in time, or when they would be late themselves. Daemons exchange the work of the heaviest 100 accounts of each service once a second. The simulator counts every refusal that promises not to have run, not only those with status 503.

--- a/harness/engine_simulator.cpp
+++ b/harness/engine_simulator.cpp
@@ -78,7 +78,8 @@
         entry.complete = true;
         return;
     case proxy_answer_kind::refused:
-        entry.refused = answer.status == 503 && answer.retry_after.has_value();
+        entry.refused =
+            guarantees_not_run(answer.code) && answer.retry_after.has_value();
         return;
     case proxy_answer_kind::complete:
     case proxy_answer_kind::begin:
--- a/src/admit_proxied_requests.cpp
+++ b/src/admit_proxied_requests.cpp
@@ -3,6 +3,7 @@
 #include "authenticate_proxied_requests.hpp"
 #include "log_proxied_request.hpp"
 #include "proxy_lifecycle.hpp"
+#include "share_requests.hpp"
 #include "stop_proxy.hpp"
 #include "world.hpp"
 
@@ -95,6 +96,7 @@
         request.chain = shared_chain_of(*arrival.content->prompt);
     }
     w.proxy.budgets[request.service].record_request(w.now);
+    record_account_request(w, request);
     w.proxy.expiries.add(request.expires_at, arrival.request);
     w.proxy.waiting.push_back(arrival.request);
     buffer_request_log(
--- a/src/authenticate_proxied_requests.cpp
+++ b/src/authenticate_proxied_requests.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace agateledge
@@ -35,7 +36,7 @@
 
 bool authenticate_proxied_request(world &w, proxy_request_state &request)
 {
-    request.account.clear();
+    auto const before = std::exchange(request.account, {});
     request.priority = request.route->priority;
     if (!w.proxy.routing->accounts)
     {
@@ -53,6 +54,10 @@
     {
         return true;
     }
+    if (!before.empty())
+    {
+        ++w.proxy.accounts->counters[before].refused_keys;
+    }
     auto const label = key_label(credential);
     buffer_request_log(w, request, "request_key_refused",
                        {{"key_sha256", label}});
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -6,6 +6,7 @@
 #include "log_proxied_request.hpp"
 #include "next_available_instance.hpp"
 #include "proxy_lifecycle.hpp"
+#include "share_requests.hpp"
 #include "stop_proxy.hpp"
 #include "world.hpp"
 
@@ -114,6 +115,11 @@
     auto const attempt = proxy.requests.next_attempt();
     bool const prefill = choice.stage == proxy_stage::prefill;
     bool const background = will_be_late(w, request, choice);
+    if (background)
+    {
+        record_unserved_request(w, request);
+    }
+    record_account_work(w, request, choice.prediction.unread_tokens);
     w.out.proxy_calls.push_back(
         make_call(w, request, instance, choice, attempt, background));
     record_placement(w, request, instance, choice);
@@ -276,6 +282,7 @@
                              "early enough");
         return;
     }
+    record_unserved_request(w, request);
     request.awaits_instance = true;
     request.not_before = std::min(from, w.now + pause_check_interval);
     requeue(w, request, queued);
@@ -295,6 +302,10 @@
         refuse_while_stopping(w, number);
         return;
     }
+    if (refuse_over_share(w, request))
+    {
+        return;
+    }
     request.awaits_instance = false;
     auto const choice = choose_instance(w, request);
     if (!choice)
@@ -302,6 +313,10 @@
         await_instance(w, number, queued);
         return;
     }
+    if (will_be_late(w, request, *choice) && refuse_late_over_share(w, request))
+    {
+        return;
+    }
     auto const remaining = request.begin_by - w.now;
     auto const needed = choice->prediction.time +
                         queue_time(w, request.service, *choice, queued) +
@@ -309,6 +324,7 @@
     if (request.runs == 0 && needed > remaining)
     {
         auto const excess = needed - remaining;
+        record_unserved_request(w, request);
         refuse_proxied_request(
             w, number, result_code::deadline_unreachable,
             "the earliest predicted first event is after the caller would "
@@ -318,6 +334,7 @@
     }
     if (choice->full)
     {
+        record_waiting_request(w, request);
         request.waiting_tokens = choice->prediction.unread_tokens;
         request.not_before = w.now + comparison_interval;
         requeue(w, request, queued);
@@ -331,11 +348,8 @@
 
 void place_proxied_requests(world &w)
 {
-    auto due = std::exchange(w.proxy.waiting, {});
-    std::ranges::stable_sort(
-        due, {},
-        [&w](request_number number)
-        { return w.proxy.requests.find(number)->priority; });
+    auto const due =
+        order_waiting_requests(w, std::exchange(w.proxy.waiting, {}));
     queued_work queued;
     for (auto const number : due)
     {
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -1,5 +1,7 @@
 #include "proxy_process.hpp"
 
+#include "account_load_codec.hpp"
+#include "account_load_report.hpp"
 #include "http_exchange.hpp"
 #include "json_log.hpp"
 #include "part_evidence_codec.hpp"
@@ -107,6 +109,9 @@
     { send_peer_load(send); };
     handlers.send_part_evidence = [this](part_evidence_send const &send)
     { send_part_evidence(send); };
+    handlers.send_account_load =
+        [this](peer_report<account_load_report> const &send)
+    { send_datagrams(send.to, encode_account_load(*send.report)); };
     peers_.on_datagram = [this](std::string_view bytes)
     { handle_datagram(bytes); };
     loop_.polls().on_iteration = [this](duration busy, instant now)
@@ -214,10 +219,15 @@
 
 void proxy_process::send_peer_load(peer_load_send const &send)
 {
-    auto const bytes = encode_peer_load(*send.report);
-    auto const failed = std::ranges::count_if(
-        send.to, [this, &bytes](std::string const &address)
-        { return !peers_.send(address, bytes); });
+    send_datagrams(send.to, encode_peer_load(*send.report));
+}
+
+void proxy_process::send_datagrams(std::vector<std::string> const &to,
+                                   std::string const &bytes)
+{
+    auto const failed =
+        std::ranges::count_if(to, [this, &bytes](std::string const &address)
+                              { return !peers_.send(address, bytes); });
     state_.proxy.metrics.load_reports["not_sent"] +=
         static_cast<std::uint64_t>(failed);
 }
@@ -244,6 +254,12 @@
         loop_.input().part_evidence_reports.push_back(*std::move(evidence));
         return;
     }
+    if (auto accounts = decode_account_load(bytes))
+    {
+        loop_.input().account_load_reports.push_back(
+            std::make_shared<account_load_report const>(*std::move(accounts)));
+        return;
+    }
     ++state_.proxy.metrics.load_reports["unreadable"];
 }
 
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -68,6 +68,9 @@
     void reload_if_changed();
     std::optional<std::string> read_settings_file_text() const;
     void send_peer_load(peer_load_send const &send);
+    /// Sends a load report; failures count in `load_reports`.
+    void send_datagrams(std::vector<std::string> const &to,
+                        std::string const &bytes);
     void send_part_evidence(part_evidence_send const &send);
     void handle_datagram(std::string_view bytes);
     bool admits_request();
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -3,6 +3,7 @@
 #include "admit_proxied_requests.hpp"
 #include "advance_proxied_requests.hpp"
 #include "eject_instances.hpp"
+#include "exchange_account_loads.hpp"
 #include "exchange_loads.hpp"
 #include "exchange_part_evidence.hpp"
 #include "expire_proxied_requests.hpp"
@@ -25,6 +26,7 @@
     poll_store(w);
     update_directory(w);
     exchange_loads(w);
+    exchange_account_loads(w);
     record_leaving_instances(w);
     record_instance_pauses(w);
     record_request_limits(w);
