--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -1,5 +1,6 @@
 #include "proxy_metrics_text.hpp"
 
+#include "account_metrics_text.hpp"
 #include "world.hpp"
 
 #include <sstream>
@@ -115,6 +116,7 @@
                 table_age_s(w, polled_table::configuration));
     write_value(out, "directory_age_seconds", "gauge",
                 table_age_s(w, polled_table::instances));
+    write_account_metrics(out, w, prefix);
     write_latency(out, "queued_seconds", metrics.queued);
     write_latency(out, "first_event_seconds", metrics.first_event);
     write_latency(out, "late_by_seconds", metrics.late_by);
--- a/test/correctness/proxy_account_test.cpp
+++ b/test/correctness/proxy_account_test.cpp
@@ -3,6 +3,8 @@
 // engine or a log.
 #include "account_directory.hpp"
 #include "directory_codec.hpp"
+#include "json_text.hpp"
+#include "memory_in_use.hpp"
 #include "platform_codec.hpp"
 #include "proxy_codec.hpp"
 #include "proxy_fixture.hpp"
@@ -10,6 +12,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
 #include <memory>
 #include <string>
 #include <vector>
@@ -201,4 +206,55 @@
     EXPECT_EQ(with("[]")->accounts->authenticate("Bearer k"), nullptr);
 }
 
+// A limit on time would depend on the machine; the figures are recorded.
+TEST(account_configuration, ten_thousand_keys_are_applied_as_a_difference)
+{
+    constexpr int keys = 10000;
+    auto const text_with = [](int first)
+    {
+        Json::Value config;
+        config["version"] = 1;
+        for (int i = first; i < first + keys; ++i)
+        {
+            Json::Value account;
+            account["name"] = "account-" + std::to_string(i);
+            account["api_keys"].append("key-of-32-characters-or-so-" +
+                                       std::to_string(i));
+            config["tenants"].append(account);
+        }
+        return json_to_text(config);
+    };
+    auto const apply =
+        [](std::string const &text, account_directory const *before)
+    {
+        auto const begin = std::chrono::steady_clock::now();
+        auto const memory = static_cast<std::int64_t>(memory_in_use());
+        auto config = platform::decode_configuration(text, before);
+        std::chrono::duration<double, std::milli> const time =
+            std::chrono::steady_clock::now() - begin;
+        EXPECT_TRUE(config.ok());
+        auto const added = static_cast<std::int64_t>(memory_in_use()) - memory;
+        std::printf("%zu keys, %zu hashed: %.1f ms, %.0f kB\n",
+                    config->accounts->keys(), config->accounts->hashed_keys(),
+                    time.count(), static_cast<double>(added) / 1e3);
+        EXPECT_LT(added, 40'000'000);
+        return config->accounts;
+    };
+    auto const first_text = text_with(0);
+    auto const next_text = text_with(10);
+    auto const first = apply(first_text, nullptr);
+    EXPECT_EQ(first->hashed_keys(), std::size_t{keys});
+    auto const next = apply(next_text, first.get());
+    EXPECT_EQ(next->hashed_keys(), 10U);
+    auto const credential = std::string("Bearer key-of-32-characters-or-so-");
+    EXPECT_EQ(next->authenticate(credential + "9"), nullptr);
+    for (auto const i : {10, 5000, keys + 9})
+    {
+        auto const *account =
+            next->authenticate(credential + std::to_string(i));
+        ASSERT_NE(account, nullptr);
+        EXPECT_EQ(account->name, "account-" + std::to_string(i));
+    }
+}
+
 } // namespace
