--- a/src/admit_proxied_requests.cpp
+++ b/src/admit_proxied_requests.cpp
@@ -1,7 +1,9 @@
 #include "admit_proxied_requests.hpp"
 
+#include "authenticate_proxied_requests.hpp"
 #include "log_proxied_request.hpp"
 #include "proxy_lifecycle.hpp"
+#include "share_requests.hpp"
 #include "stop_proxy.hpp"
 #include "world.hpp"
 
@@ -67,6 +69,10 @@
             known ? std::nullopt : std::optional(unready_retry_after));
         return;
     }
+    if (!authenticate_proxied_request(w, request))
+    {
+        return;
+    }
     if (admission_closed(w))
     {
         refuse_while_stopping(w, arrival.request);
@@ -90,6 +96,7 @@
         request.chain = shared_chain_of(*arrival.content->prompt);
     }
     w.proxy.budgets[request.service].record_request(w.now);
+    record_account_request(w, request);
     w.proxy.expiries.add(request.expires_at, arrival.request);
     w.proxy.waiting.push_back(arrival.request);
     buffer_request_log(
@@ -123,6 +130,7 @@
 
 void admit_proxied_requests(world &w)
 {
+    refuse_withdrawn_keys(w);
     std::ranges::for_each(w.in.proxy_arrivals,
                           [&w](proxy_arrival const &arrival)
                           { admit(w, arrival); });
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -2,6 +2,7 @@
 
 #include "capacity_state.hpp"
 #include "store_view_state.hpp"
+#include "account_metrics_text.hpp"
 #include "world.hpp"
 
 #include <sstream>
@@ -167,6 +168,7 @@
     {
         write_capacity(out, *proxy.capacity);
     }
+    write_account_metrics(out, w, prefix);
     write_latency(out, "queued_seconds", metrics.queued);
     write_latency(out, "first_event_seconds", metrics.first_event);
     write_latency(out, "late_by_seconds", metrics.late_by);
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -3,6 +3,7 @@
 #include "admit_proxied_requests.hpp"
 #include "advance_proxied_requests.hpp"
 #include "eject_instances.hpp"
+#include "exchange_account_loads.hpp"
 #include "exchange_loads.hpp"
 #include "exchange_part_evidence.hpp"
 #include "expire_proxied_requests.hpp"
@@ -31,6 +32,7 @@
     share_store_reads(w);
     exchange_loads(w);
     order_capacity(w, authority_over(w, duty::order_capacity));
+    exchange_account_loads(w);
     record_leaving_instances(w);
     record_instance_pauses(w);
     record_request_limits(w);
