Hold leases of the duties in rows of the store

Cause: usage reports and capacity orders are to be made by one daemon at a time, with fencing tokens that never go back, also when the store returns from an older copy. Change: transactions on the table duties and calls to the platform's service interface with their codec and clients; a call is not sent after its end of authority, and a failed one resets its connection. hold_duty_leases takes, renews, announces and releases the lease of each duty; authority_over tells the passes whether they may act. Holders announce leases in datagrams, so that the others make no store calls.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -1,14 +1,17 @@
 #include "http_call.hpp"
 
+#include "daemon_loop.hpp"
 #include "kept_connections.hpp"
 #include "request_head.hpp"
 #include "socket_address.hpp"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <utility>
 
 namespace agateledge
@@ -93,6 +96,7 @@
     kept_ = &kept;
     address_ = request.address;
     body_ = request.body;
+    not_after_ = request.not_after;
     has_own_connection_ = request.new_connection;
     has_total_timeout_ = request.total_timeout.count() > 0;
     parser_ = std::make_unique<reply_parser>(
@@ -174,6 +178,16 @@
 
 void http_call::begin_exchange()
 {
+    if (!may_send())
+    {
+        // `connected_` is false, so the call ends as one that was not sent. Its
+        // handlers do not run in here, because `start` may have called this.
+        close_connection();
+        stop_timer();
+        start_timer(duration(0));
+        return;
+    }
+    limit_retransmission();
     connected_ = true;
     if (!has_total_timeout_)
     {
@@ -189,6 +203,38 @@
     }
 }
 
+bool http_call::may_send() const
+{
+    return not_after_ == instant::max() ||
+           daemon_loop::clock_now() < not_after_;
+}
+
+void http_call::limit_retransmission()
+{
+    if (not_after_ == instant::max())
+    {
+        return;
+    }
+    // Otherwise the kernel would send the bytes once a partition ends, also
+    // while this process is suspended and its own timer does not run.
+    auto const left = std::chrono::duration_cast<milliseconds>(
+        not_after_ - daemon_loop::clock_now());
+    auto const limit = std::max<std::int64_t>(left.count(), 1);
+    g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                        static_cast<gint>(limit), nullptr);
+}
+
+void http_call::reset_on_close()
+{
+    if (!socket_ || not_after_ == instant::max())
+    {
+        return;
+    }
+    linger const reset{1, 0};
+    setsockopt(g_socket_get_fd(socket_.get()), SOL_SOCKET, SO_LINGER, &reset,
+               sizeof reset);
+}
+
 bool http_call::sent_completely() const
 {
     return sent_bytes_ == head_.size() + (body_ ? body_->size() : 0);
@@ -221,6 +267,11 @@
 
 void http_call::handle_writable()
 {
+    if (!may_send())
+    {
+        fail();
+        return;
+    }
     if (send_some())
     {
         write_source_.reset();
@@ -247,6 +298,7 @@
     ended_ = true;
     handlers_ = {};
     stop_timer();
+    reset_on_close();
     close_connection();
 }
 
@@ -337,6 +389,10 @@
     {
         kept_->keep(address_, std::move(socket_));
     }
+    if (outcome != http_outcome::answered)
+    {
+        reset_on_close();
+    }
     close_connection();
     auto const on_end = std::move(handlers_.on_end);
     // The handlers may hold references that keep this call alive.
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -39,6 +39,9 @@
     duration connect_timeout = seconds(2);
     /// Timeout of the complete call; 0 for none.
     duration total_timeout{};
+    /// No byte is sent at or after this time on the daemon's clock, also not by
+    /// the kernel; the connection of a call that fails is reset.
+    instant not_after = instant::max();
     /// Uses a separate connection for this call, so that a late copy of an
     /// earlier reply cannot be taken for the reply to this one.
     bool new_connection = false;
@@ -109,6 +112,9 @@
     bool send_some();
     bool sent_completely() const;
     void deliver(std::string_view bytes);
+    bool may_send() const;
+    void limit_retransmission();
+    void reset_on_close();
     void close_connection();
     void finish(http_outcome outcome);
     void fail();
@@ -125,6 +131,7 @@
     gsource_ptr read_source_;
     gsource_ptr write_source_;
     unsigned timer_ = 0;
+    instant not_after_ = instant::max();
     bool has_own_connection_ = false;
     bool connected_ = false;
     bool has_total_timeout_ = false;
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -1,15 +1,20 @@
 #include "proxy_process.hpp"
 
+#include "duty_state.hpp"
 #include "http_exchange.hpp"
 #include "json_log.hpp"
 #include "part_evidence_codec.hpp"
 #include "peer_load_codec.hpp"
 #include "proxy_metrics_text.hpp"
 #include "settings_reader.hpp"
+#include "usage_snapshot.hpp"
+#include "usage_snapshot_codec.hpp"
 
 #include <glib.h>
 
 #include <algorithm>
+#include <ctime>
+#include <memory>
 #include <utility>
 
 namespace agateledge
@@ -45,6 +50,15 @@
     return out;
 }
 
+/// @return CLOCK_REALTIME, which may jump
+duration time_of_day()
+{
+    timespec value{};
+    clock_gettime(CLOCK_REALTIME, &value);
+    return seconds(value.tv_sec) + std::chrono::duration_cast<duration>(
+                                       std::chrono::nanoseconds(value.tv_nsec));
+}
+
 } // namespace
 
 proxy_process::proxy_process(proxy_settings config, std::string file,
@@ -60,11 +74,13 @@
       instance_http_(connection_reuse::single_call), gate_random_(seed),
       callers_(state_, loop_, codec_, limits_of(config_)),
       instances_(instance_http_, loop_, codec_), caches_(http_, loop_, codec_),
-      rows_(http_, loop_, codec_, config_.store_address)
+      rows_(http_, loop_, codec_, config_.store_address),
+      platform_(http_, loop_, codec_, config_.limits.duties.platform_address)
 {
     state_.proxy.enabled = true;
     state_.proxy.limits = config_.limits;
     state_.proxy.peer_address = config_.peer_address;
+    set_up_duties();
     install_handlers();
 }
 
@@ -76,6 +92,14 @@
     }
 }
 
+void proxy_process::set_up_duties()
+{
+    if (has_duties(state_))
+    {
+        duties_of(state_).time_of_day = time_of_day;
+    }
+}
+
 bool proxy_process::ready() const
 {
     auto const &proxy = state_.proxy;
@@ -103,10 +127,19 @@
     handlers.read_rows = [this](row_read const &read) { rows_.read(read); };
     handlers.write_daemon_row = [this](daemon_row_write const &write)
     { rows_.write(write); };
+    handlers.write_rows =
+        [this](std::shared_ptr<row_transaction const> const &item)
+    { rows_.write(item); };
+    handlers.call_platform =
+        [this](std::shared_ptr<platform_call const> const &call)
+    { platform_.call(call); };
     handlers.send_peer_load = [this](peer_load_send const &send)
     { send_peer_load(send); };
     handlers.send_part_evidence = [this](part_evidence_send const &send)
     { send_part_evidence(send); };
+    handlers.send_usage_snapshot =
+        [this](peer_report<usage_snapshot> const &send)
+    { send_usage_snapshot(send); };
     peers_.on_datagram = [this](std::string_view bytes)
     { handle_datagram(bytes); };
     loop_.polls().on_iteration = [this](duration busy, instant now)
@@ -203,7 +236,9 @@
         config.caller_address != config_.caller_address ||
         config.readiness_address != config_.readiness_address;
     state_.proxy.limits = config.limits;
+    set_up_duties();
     rows_.set_address(config.store_address);
+    platform_.set_address(config.limits.duties.platform_address);
     auto const level = set_log_level(config.log_level);
     log(level.ok() ? log_level::info : log_level::error, "reloaded",
         {{"store", config.store_address},
@@ -232,6 +267,19 @@
         static_cast<std::uint64_t>(failed);
 }
 
+void proxy_process::send_usage_snapshot(peer_report<usage_snapshot> const &send)
+{
+    auto const bytes = encode_usage_snapshot(*send.report);
+    auto const failed = std::ranges::count_if(
+        send.to, [this, &bytes](std::string const &address)
+        { return !peers_.send(address, bytes); });
+    if (state_.proxy.duties)
+    {
+        state_.proxy.duties->snapshots["not_sent"] +=
+            static_cast<std::uint64_t>(failed);
+    }
+}
+
 void proxy_process::handle_datagram(std::string_view bytes)
 {
     if (auto load = decode_peer_load(bytes))
@@ -244,6 +292,12 @@
         loop_.input().part_evidence_reports.push_back(*std::move(evidence));
         return;
     }
+    if (auto usage = decode_usage_snapshot(bytes))
+    {
+        loop_.input().usage_snapshots.push_back(
+            std::make_shared<usage_snapshot const>(*std::move(usage)));
+        return;
+    }
     ++state_.proxy.metrics.load_reports["unreadable"];
 }
 
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -9,6 +9,7 @@
 #include "ids.hpp"
 #include "instance_client.hpp"
 #include "overload_gate.hpp"
+#include "platform_client.hpp"
 #include "proxy_codec.hpp"
 #include "proxy_listener.hpp"
 #include "proxy_settings.hpp"
@@ -64,11 +65,13 @@
     bool ready() const;
 
     void install_handlers();
+    void set_up_duties();
     void apply(proxy_settings const &config);
     void reload_if_changed();
     std::optional<std::string> read_settings_file_text() const;
     void send_peer_load(peer_load_send const &send);
     void send_part_evidence(part_evidence_send const &send);
+    void send_usage_snapshot(peer_report<usage_snapshot> const &send);
     void handle_datagram(std::string_view bytes);
     bool admits_request();
     void log(log_level level, std::string event,
@@ -88,6 +91,7 @@
     instance_client instances_;
     cache_reader caches_;
     row_client rows_;
+    platform_client platform_;
     datagram_socket peers_;
     http_server readiness_;
     http_server metrics_;
--- a/src/row_client.cpp
+++ b/src/row_client.cpp
@@ -3,6 +3,7 @@
 #include "daemon_loop.hpp"
 #include "http_client.hpp"
 #include "proxy_codec.hpp"
+#include "row_transaction.hpp"
 
 #include <utility>
 
@@ -72,4 +73,26 @@
                });
 }
 
+void row_client::write(std::shared_ptr<row_transaction const> const &item)
+{
+    auto request = codec_.encode_row_transaction(*item);
+    request.address = address_;
+    request.total_timeout = item->timeout;
+    request.new_connection = true;
+    http_.send(
+        request,
+        [this, item](http_reply const &reply)
+        {
+            auto out = codec_.decode_row_transaction(
+                *item, reply.answered_status(), reply.body);
+            if (reply.outcome == http_outcome::failed_before_send)
+            {
+                out.outcome = row_transaction_outcome::refused;
+            }
+            out.store_era = codec_.decode_store_era(reply.headers);
+            loop_.input().row_transaction_replies.push_back(
+                std::make_shared<row_transaction_reply const>(std::move(out)));
+        });
+}
+
 } // namespace agateledge
--- a/src/row_client.hpp
+++ b/src/row_client.hpp
@@ -3,6 +3,7 @@
 
 #include "row_messages.hpp"
 
+#include <memory>
 #include <string>
 
 namespace agateledge
@@ -11,6 +12,7 @@
 class daemon_loop;
 class http_client;
 struct proxy_codec;
+struct row_transaction;
 
 /// Client of the platform's store.
 class row_client
@@ -29,6 +31,10 @@
     /// Starts a write; a failure is only logged.
     void write(daemon_row_write const &write);
 
+    /// Starts a transaction on the system's own rows, or a read of them; its
+    /// reply is added to the inbox of the loop.
+    void write(std::shared_ptr<row_transaction const> const &item);
+
     /// Changes the address for later calls.
     void set_address(std::string address) { address_ = std::move(address); }
 
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -6,6 +6,7 @@
 #include "exchange_loads.hpp"
 #include "exchange_part_evidence.hpp"
 #include "expire_proxied_requests.hpp"
+#include "hold_duty_leases.hpp"
 #include "hold_suspected_prompts.hpp"
 #include "place_proxied_requests.hpp"
 #include "poll_caches.hpp"
@@ -25,6 +26,7 @@
     poll_store(w);
     update_directory(w);
     exchange_loads(w);
+    hold_duty_leases(w);
     record_leaving_instances(w);
     record_instance_pauses(w);
     record_request_limits(w);
--- a/src/usage_snapshot.hpp
+++ b/src/usage_snapshot.hpp
@@ -33,6 +33,22 @@
     auto operator<=>(service_activity const &) const = default;
 };
 
+/// Lease of a duty, as its holder announces it.
+struct lease_notice
+{
+    /// Value of the duty.
+    std::uint8_t item = 0;
+    /// Empty after a release.
+    std::string holder;
+    std::uint64_t incarnation = 0;
+    std::uint64_t fencing = 0;
+    /// Version of the lease's row, and era of the store.
+    std::uint64_t version = 0;
+    std::uint64_t era = 0;
+
+    auto operator<=>(lease_notice const &) const = default;
+};
+
 /// Report of a daemon to the holders of the duties, in datagrams. Each report
 /// replaces the sender's earlier ones, so a lost datagram is not repeated.
 struct usage_snapshot
@@ -43,6 +59,14 @@
     /// Counts of the windows that are not reported yet.
     std::vector<account_starts> starts;
     std::vector<service_activity> services;
+    /// Window in which the sender counts now; 0 in a report of leases. Its
+    /// counts of the earlier windows are complete.
+    std::int64_t open_window = 0;
+    /// Leases of the sender. A report with leases has no counts and replaces
+    /// only earlier reports with leases.
+    std::vector<lease_notice> leases;
+    /// Highest window whose counts are final; in a report with leases.
+    std::int64_t closed_window = 0;
 
     auto operator<=>(usage_snapshot const &) const = default;
 };
--- /dev/null
+++ b/test/correctness/duty_lease_test.cpp
@@ -0,0 +1,419 @@
+// Guards against two daemons that act for a duty at the same time, in turns, or
+// with a fencing token that is not above all earlier ones, whatever crashes,
+// pauses, partitions, late writes and copies of the store occur.
+#include "duty_state.hpp"
+#include "fixed_seed_check.hpp"
+#include "hold_duty_leases.hpp"
+#include "world.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace agateledge
+{
+
+enum class lease_event
+{
+    crash,
+    freeze,
+    lost_answers,
+    late_writes,
+    partition,
+    lost_notices,
+    stop,
+    older_copy,
+    wait,
+};
+
+struct lease_step_case
+{
+    lease_event event = lease_event::wait;
+    int target = 0;
+    int amount = 0;
+};
+
+std::ostream &operator<<(std::ostream &os, lease_step_case const &step)
+{
+    return os << "{" << static_cast<int>(step.event) << ", " << step.target
+              << ", " << step.amount << "}";
+}
+
+namespace
+{
+
+constexpr duration tick_time = milliseconds(20);
+constexpr duration lease_time = seconds(3);
+
+struct model_store
+{
+    std::map<std::string, stored_row> rows;
+    std::uint64_t version = 0;
+
+    row_transaction_reply apply(row_transaction const &item)
+    {
+        row_transaction_reply out;
+        out.operation = item.operation;
+        out.owner = item.owner;
+        out.outcome = row_transaction_outcome::committed;
+        bool const read = item.puts.empty() && item.removes.empty();
+        for (auto const &condition : item.conditions)
+        {
+            auto row = rows.contains(condition.key)
+                           ? rows.at(condition.key)
+                           : stored_row{condition.key, {}, 0};
+            if (!read && row.version != condition.version)
+            {
+                out.outcome = row_transaction_outcome::conflict;
+            }
+            out.rows.push_back(row);
+        }
+        if (read || out.outcome == row_transaction_outcome::conflict)
+        {
+            return out;
+        }
+        out.rows.clear();
+        out.version = ++version;
+        for (auto const &put : item.puts)
+        {
+            rows[put.key] = {put.key, put.value, version};
+        }
+        return out;
+    }
+};
+
+struct member
+{
+    std::unique_ptr<world> state;
+    instant frozen_until{};
+    instant answers_lost_until{};
+    instant writes_late_until{};
+    instant partitioned_until{};
+    instant notices_lost_until{};
+    std::vector<std::shared_ptr<row_transaction_reply const>> replies;
+    std::vector<std::shared_ptr<usage_snapshot const>> notices;
+};
+
+struct late_write
+{
+    instant when{};
+    std::shared_ptr<row_transaction const> item;
+};
+
+/// Calls that the platform has received for one duty.
+struct seen_calls
+{
+    std::string last;
+    std::uint64_t fencing = 0;
+    std::map<std::string, instant> last_act;
+    std::map<std::uint64_t, std::string> holder_of;
+};
+
+class lease_model
+{
+public:
+    explicit lease_model(int daemons)
+    {
+        for (int i = 0; i < daemons; ++i)
+        {
+            members_.emplace_back();
+            start(i);
+        }
+        copies_.push_back(store_);
+    }
+
+    void run(lease_step_case const &step)
+    {
+        auto &target = members_.at(static_cast<std::size_t>(step.target) %
+                                   members_.size());
+        auto const until = now_ + milliseconds(200) * step.amount;
+        switch (step.event)
+        {
+        case lease_event::crash:
+            start(step.target % static_cast<int>(members_.size()));
+            break;
+        case lease_event::freeze:
+            target.frozen_until = until;
+            break;
+        case lease_event::lost_answers:
+            target.answers_lost_until = until;
+            break;
+        case lease_event::late_writes:
+            target.writes_late_until = until;
+            break;
+        case lease_event::partition:
+            target.partitioned_until = until;
+            break;
+        case lease_event::lost_notices:
+            target.notices_lost_until = until;
+            break;
+        case lease_event::stop:
+            target.state->proxy.stopping_since = now_;
+            break;
+        case lease_event::older_copy:
+            store_ = copies_.at(
+                copies_.size() -
+                std::min<std::size_t>(
+                    copies_.size(), static_cast<std::size_t>(step.amount) + 1));
+            ++era_;
+            break;
+        case lease_event::wait:
+            break;
+        }
+        advance(milliseconds(100) * (1 + step.amount));
+    }
+
+    void advance(duration time)
+    {
+        for (auto const end = now_ + time; now_ < end; now_ += tick_time)
+        {
+            run_late_writes();
+            std::ranges::for_each(members_,
+                                  [this](member &item) { tick(item); });
+            if (now_ - copied_at_ >= milliseconds(500))
+            {
+                copied_at_ = now_;
+                copies_.push_back(store_);
+            }
+        }
+    }
+
+    void heal()
+    {
+        for (std::size_t i = 0; i < members_.size(); ++i)
+        {
+            auto &item = members_.at(i);
+            item.frozen_until = item.answers_lost_until =
+                item.writes_late_until = item.partitioned_until =
+                    item.notices_lost_until = now_;
+            if (item.state->proxy.stopping_since)
+            {
+                start(static_cast<int>(i));
+            }
+        }
+    }
+
+    std::string holder(duty item)
+    {
+        std::string out;
+        for (auto const &daemon : members_)
+        {
+            if (authority_over(*daemon.state, item))
+            {
+                out += daemon.state->identity.name;
+            }
+        }
+        return out;
+    }
+
+    std::size_t transactions = 0;
+    std::vector<std::string> violations;
+    std::set<std::uint64_t> tokens;
+
+private:
+    void start(int index)
+    {
+        auto const name = "edge-" + std::to_string(index);
+        auto &item = members_.at(static_cast<std::size_t>(index));
+        item = {};
+        item.state = std::make_unique<world>(
+            daemon_identity{name, incarnation_number(++incarnation_), "zone",
+                            ""},
+            incarnation_);
+        auto &settings = item.state->proxy.limits.duties;
+        settings.platform_address = "127.0.0.1:1";
+        settings.reports_usage = settings.orders_capacity = true;
+        settings.lease_time = lease_time;
+        for (std::size_t i = 0; i < members_.size() + 2; ++i)
+        {
+            auto const peer = "edge-" + std::to_string(i);
+            item.state->proxy.daemons[peer] = {instant{}, peer, "zone"};
+        }
+    }
+
+    void run_late_writes()
+    {
+        auto const due = std::ranges::stable_partition(
+            late_, [this](late_write const &item) { return item.when > now_; });
+        std::ranges::for_each(due, [this](late_write const &item)
+                              { store_.apply(*item.item); });
+        late_.erase(due.begin(), due.end());
+    }
+
+    void tick(member &item)
+    {
+        if (now_ < item.frozen_until)
+        {
+            return;
+        }
+        auto &w = *item.state;
+        w.now = now_;
+        w.in = {};
+        w.in.row_transaction_replies = std::exchange(item.replies, {});
+        w.in.usage_snapshots = std::exchange(item.notices, {});
+        hold_duty_leases(w);
+        auto const out = std::exchange(w.out, {});
+        for (auto const &call : out.row_transactions)
+        {
+            execute(item, call);
+        }
+        for (auto const &report : out.usage_snapshots)
+        {
+            deliver(item, report.report);
+        }
+        act(w, duty::report_usage);
+        act(w, duty::order_capacity);
+    }
+
+    void execute(member &item,
+                 std::shared_ptr<row_transaction const> const &call)
+    {
+        ++transactions;
+        if (now_ < item.partitioned_until)
+        {
+            return;
+        }
+        if (now_ < item.writes_late_until && !call->puts.empty())
+        {
+            late_.push_back({item.writes_late_until + seconds(1), call});
+            return;
+        }
+        auto reply = store_.apply(*call);
+        reply.store_era = era_;
+        if (now_ >= item.answers_lost_until)
+        {
+            item.replies.push_back(
+                std::make_shared<row_transaction_reply const>(reply));
+        }
+    }
+
+    void deliver(member const &from,
+                 std::shared_ptr<usage_snapshot const> const &report)
+    {
+        for (auto &item : members_)
+        {
+            bool const lost = now_ < from.notices_lost_until ||
+                              now_ < item.notices_lost_until;
+            if (&item != &from && !lost)
+            {
+                item.notices.push_back(report);
+            }
+        }
+    }
+
+    void act(world const &w, duty item)
+    {
+        auto const authority = authority_over(w, item);
+        if (!authority)
+        {
+            return;
+        }
+        auto &seen = seen_.at(static_cast<std::size_t>(item));
+        auto const &name = w.identity.name;
+        tokens.insert(authority->fencing);
+        auto const [owner, added] =
+            seen.holder_of.emplace(authority->fencing, name);
+        if (owner->second != name)
+        {
+            violations.push_back("two holders send one token");
+        }
+        if (authority->fencing < seen.fencing)
+        {
+            violations.push_back("a token is lower than one before");
+        }
+        bool const returns = !seen.last.empty() && seen.last != name &&
+                             seen.last_act.contains(name) &&
+                             now_ - seen.last_act.at(name) < lease_time;
+        if (returns)
+        {
+            violations.push_back("holders alternate");
+        }
+        seen.fencing = std::max(seen.fencing, authority->fencing);
+        seen.last = name;
+        seen.last_act[name] = now_;
+    }
+
+    std::vector<member> members_;
+    model_store store_;
+    std::vector<model_store> copies_;
+    std::uint64_t era_ = 1;
+    std::uint64_t incarnation_ = 0;
+    std::vector<late_write> late_;
+    std::array<seen_calls, duty_count> seen_;
+    instant now_ = instant(hours(1));
+    instant copied_at_{};
+};
+
+rc::Gen<lease_step_case> any_step()
+{
+    auto const event =
+        rc::gen::weightedElement<lease_event>({{2, lease_event::crash},
+                                               {3, lease_event::freeze},
+                                               {2, lease_event::lost_answers},
+                                               {2, lease_event::late_writes},
+                                               {3, lease_event::partition},
+                                               {2, lease_event::lost_notices},
+                                               {1, lease_event::stop},
+                                               {2, lease_event::older_copy},
+                                               {2, lease_event::wait}});
+    return rc::gen::construct<lease_step_case>(event, full_range(3),
+                                               full_range(40));
+}
+
+TEST(duty_lease, invariants_hold_under_any_faults)
+{
+    for (int daemons = 2; daemons <= 3; ++daemons)
+    {
+        std::size_t tokens = 0;
+        auto const failure = run_with_seed(
+            4711 + static_cast<std::uint64_t>(daemons), 150,
+            [&]
+            {
+                auto const steps =
+                    *rc::gen::container<std::vector<lease_step_case>>(
+                        any_step());
+                lease_model model(daemons);
+                model.advance(seconds(8));
+                std::ranges::for_each(steps, [&model](auto const &step)
+                                      { model.run(step); });
+                model.heal();
+                model.advance(seconds(20));
+                if (!model.violations.empty())
+                {
+                    RC_FAIL(model.violations.front());
+                }
+                for (auto const item :
+                     {duty::report_usage, duty::order_capacity})
+                {
+                    auto const holder = model.holder(item);
+                    RC_ASSERT(holder.size() == std::string("edge-0").size());
+                }
+                tokens += model.tokens.size();
+            });
+        EXPECT_EQ(failure, "");
+        EXPECT_GT(tokens, 600U);
+    }
+}
+
+// Guards against one daemon that holds both duties, and against store calls of
+// daemons that hold none.
+TEST(duty_lease, duties_belong_to_different_daemons_and_only_holders_write)
+{
+    lease_model model(3);
+    model.advance(seconds(8));
+    auto const usage = model.holder(duty::report_usage);
+    EXPECT_EQ(usage.size(), 6U);
+    EXPECT_EQ(model.holder(duty::order_capacity).size(), 6U);
+    EXPECT_NE(usage, model.holder(duty::order_capacity));
+    auto const before = model.transactions;
+    model.advance(seconds(14));
+    EXPECT_LE(model.transactions - before, 2U * 14 * 10 / 7 + 2);
+}
+
+} // namespace
+
+} // namespace agateledge
