Count usage and report it once for each window

Cause: the platform is to get one report of the requests of each account for each window, from one daemon at a time and never with two contents. The holder writes the content of a window in one transaction with a renewal of its lease, then sends it until it is accepted. Fencing tokens are also kept in a row for each era, because the model showed that a late write of an earlier era could overwrite the lease's row and let a token be used twice.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -1,6 +1,7 @@
 #include "advance_proxied_requests.hpp"
 
 #include "choose_calls_over_memory.hpp"
+#include "count_usage.hpp"
 #include "event_number.hpp"
 #include "extract_new_events.hpp"
 #include "log_proxied_request.hpp"
@@ -164,6 +165,7 @@
     {
         request->runs -= prefill ? 0 : 1;
         --request->sends;
+        count_call_not_run(w, *request);
     }
     retry_or_fail(w, number, sent, pause, reason);
 }
@@ -192,6 +194,7 @@
          {"status", std::to_string(head.status)},
          {"wrong_instance", head.wrong_instance ? "true" : "false"}});
     request->runs -= prefill ? 0 : 1;
+    count_call_not_run(w, *request);
     request->prefill_failed |= prefill || request->retained_prefill.has_value();
     release_kept_prefill(w, *request);
     retry_or_fail(w, number, true, refusal_backoff,
@@ -279,6 +282,7 @@
         return;
     }
     request.first_event_at = w.now;
+    count_stream_start(w, request);
     request.is_event_stream = request.head->is_event_stream;
     proxy_answer answer;
     answer.request = request.number;
--- a/src/duty_lease.hpp
+++ b/src/duty_lease.hpp
@@ -61,7 +61,13 @@
     /// The row was known in the same era of the store before it got this
     /// version.
     bool changed_in_era = false;
+    /// Version of the row with the highest fencing token of the store's present
+    /// era. The row's key has the era, so that writes of earlier eras that take
+    /// effect late do not change it.
+    std::uint64_t fence_version = 0;
     fencing_number highest_fencing;
+    /// Rows with the tokens of earlier eras.
+    std::vector<std::string> old_fences;
     /// True while the row names this incarnation of this daemon.
     bool held = false;
     instant authority_until{};
--- a/src/hold_duty_leases.cpp
+++ b/src/hold_duty_leases.cpp
@@ -1,12 +1,15 @@
 #include "hold_duty_leases.hpp"
 
 #include "backoff_delay.hpp"
+#include "count_usage.hpp"
 #include "duty_state.hpp"
 #include "exchange_topology.hpp"
 #include "log_proxied_request.hpp"
 #include "rendezvous_rank.hpp"
 #include "world.hpp"
 
+#include "absl/strings/match.h"
+
 #include <algorithm>
 #include <functional>
 #include <iterator>
@@ -43,12 +46,24 @@
 /// Bits of a fencing token below the era; exceeds the number of takeovers
 /// within one era.
 constexpr int era_shift = 24;
+/// Rows that a takeover removes; a transaction has at most 100 entries.
+constexpr std::size_t max_removed_fences = 20;
 
 std::string lease_key(duty item)
 {
     return "lease/" + std::string(name_of(item));
 }
 
+std::string fence_prefix(duty item)
+{
+    return "fence/" + std::string(name_of(item)) + "/";
+}
+
+std::string fence_key(world const &w, duty item)
+{
+    return fence_prefix(item) + std::to_string(w.proxy.duties->era);
+}
+
 fencing_number first_fencing(std::uint64_t era)
 {
     return fencing_number(era << era_shift);
@@ -83,6 +98,7 @@
     for (auto &lease : duties.leases)
     {
         lease.observed = false;
+        lease.fence_version = 0;
         lease.next_action = w.now;
     }
 }
@@ -104,7 +120,9 @@
 void send_read(world &w, duty_lease &lease)
 {
     row_transaction item;
-    item.conditions = {{lease_key(lease.item), 0}};
+    item.conditions = {{fence_prefix(lease.item), 0},
+                       {fence_key(w, lease.item), 0},
+                       {lease_key(lease.item), 0}};
     send(w, lease, lease_step::reading, std::move(item));
 }
 
@@ -135,8 +153,15 @@
     item.removes = rows->removes;
 }
 
+enum class lease_write
+{
+    renewal,
+    takeover,
+    release,
+};
+
 void send_write(world &w, duty_lease &lease, lease_row const &row,
-                instant acts_from, bool with_rows)
+                instant acts_from, lease_write kind)
 {
     if (lease.attempts.size() >= max_attempts_kept)
     {
@@ -147,10 +172,17 @@
     row_transaction item;
     item.conditions = {{lease_key(lease.item), lease.version}};
     item.puts = {{lease_key(lease.item), lease_row_to_text(row)}};
-    if (with_rows)
+    if (kind == lease_write::renewal)
     {
         add_rows(lease, row, item);
     }
+    if (kind == lease_write::takeover)
+    {
+        auto const fence = fence_key(w, lease.item);
+        item.conditions.push_back({fence, lease.fence_version});
+        item.puts.push_back({fence, lease_row_to_text(row)});
+        item.removes = lease.old_fences;
+    }
     lease.sent_row = row;
     send(w, lease, lease_step::writing, std::move(item));
 }
@@ -195,7 +227,7 @@
                         ? lease.acts_from
                         : w.now + duty_time_to_live + lease_time;
     }
-    send_write(w, lease, row, acts_from, false);
+    send_write(w, lease, row, acts_from, lease_write::takeover);
 }
 
 void send_release(world &w, duty_lease &lease)
@@ -205,7 +237,7 @@
     lease.release_sent = true;
     auto row = next_row(w, lease);
     row.holder.clear();
-    send_write(w, lease, row, instant::max(), false);
+    send_write(w, lease, row, instant::max(), lease_write::release);
     w.proxy.duties->next_notice = w.now;
 }
 
@@ -322,6 +354,28 @@
                                               backoff_base, max_delay);
 }
 
+void read_fences(world const &w, duty_lease &lease,
+                 row_transaction_reply const &reply)
+{
+    auto const key = fence_key(w, lease.item);
+    auto const prefix = fence_prefix(lease.item);
+    lease.old_fences.clear();
+    for (auto const &row : reply.rows)
+    {
+        if (row.key == key)
+        {
+            lease.fence_version = row.version;
+            lease.highest_fencing = std::max(
+                lease.highest_fencing, lease_row_from_text(row.value).fencing);
+        }
+        else if (absl::StartsWith(row.key, prefix) && row.version != 0 &&
+                 lease.old_fences.size() < max_removed_fences)
+        {
+            lease.old_fences.push_back(row.key);
+        }
+    }
+}
+
 void handle_rows(world &w, duty_lease &lease,
                  row_transaction_reply const &reply)
 {
@@ -332,6 +386,7 @@
         handle_failure(w, lease);
         return;
     }
+    read_fences(w, lease, reply);
     observe_row(w, lease, lease_row_from_text(found->value), found->version);
     resolve_rows(lease, reply);
 }
@@ -387,6 +442,11 @@
         handle_rows(w, lease, reply);
         return;
     }
+    if (lease.sent_row.fencing > lease.highest_fencing)
+    {
+        lease.fence_version = reply.version;
+        lease.old_fences.clear();
+    }
     observe_row(w, lease, lease.sent_row, reply.version);
     resolve_rows(lease, reply);
 }
@@ -410,6 +470,7 @@
     row.fencing = fencing_number(notice.fencing);
     row.time_to_live = duty_time_to_live;
     lease.failures = 0;
+    lease.fence_version = notice.fence_version;
     observe_row(w, lease, std::move(row), notice.version);
 }
 
@@ -455,7 +516,7 @@
             out.leases.push_back(
                 {static_cast<std::uint8_t>(lease.item), lease.row.holder,
                  lease.row.incarnation.value(), lease.row.fencing.value(),
-                 lease.version, duties.era});
+                 lease.version, duties.era, lease.fence_version});
         }
     }
     peer_report<usage_snapshot> send;
@@ -468,6 +529,10 @@
     out.incarnation = w.identity.incarnation.value();
     out.sequence = ++duties.sequence;
     out.closed_window = duties.closed_window;
+    if (duties.lease(duty::report_usage).held)
+    {
+        out.wall_time = wall_time(w).value_or(duration());
+    }
     send.report = std::make_shared<usage_snapshot const>(std::move(out));
     w.out.usage_snapshots.push_back(std::move(send));
 }
@@ -506,7 +571,8 @@
     }
     else
     {
-        send_write(w, lease, next_row(w, lease), lease.acts_from, true);
+        send_write(w, lease, next_row(w, lease), lease.acts_from,
+                   lease_write::renewal);
     }
 }
 
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -2,6 +2,7 @@
 
 #include "available_from.hpp"
 #include "choose_instance.hpp"
+#include "count_usage.hpp"
 #include "hold_suspected_prompts.hpp"
 #include "log_proxied_request.hpp"
 #include "next_available_instance.hpp"
@@ -136,6 +137,8 @@
     request.tried_instances.push_back(choice.instance);
     request.runs += prefill ? 0 : 1;
     ++request.sends;
+    count_sent_call(w, request, !request.first_sent_at,
+                    choice.prediction.unread_tokens);
     if (!request.first_sent_at)
     {
         request.first_sent_at = w.now;
--- a/src/proxy_lifecycle.cpp
+++ b/src/proxy_lifecycle.cpp
@@ -1,6 +1,7 @@
 #include "proxy_lifecycle.hpp"
 
 #include "available_from.hpp"
+#include "count_usage.hpp"
 #include "log_proxied_request.hpp"
 #include "next_available_instance.hpp"
 #include "world.hpp"
@@ -53,6 +54,7 @@
         w.proxy.budgets[request->service].release();
     }
     std::erase(w.proxy.waiting, number);
+    forget_counted_request(w, number);
     w.proxy.requests.erase(number);
 }
 
@@ -140,6 +142,7 @@
                       retry_after ? milliseconds_text(*retry_after) : ""}},
                     true);
     answer(w, std::move(reply));
+    count_request_end(w, *request, false, true);
     ++w.proxy.metrics.requests[request->answering ? "cut" : "refused"];
     remove_proxied_request(w, number);
 }
@@ -182,6 +185,7 @@
                         request->longest_event_gap > *route.max_event_gap;
     bool const late =
         first - request->arrived_at > route.target_latency || paused;
+    count_request_end(w, *request, late, false);
     log_request_end(
         w, log_level::info, *request, "request_finished",
         {{"outcome", outcome},
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "admit_proxied_requests.hpp"
 #include "advance_proxied_requests.hpp"
+#include "count_usage.hpp"
 #include "eject_instances.hpp"
 #include "exchange_loads.hpp"
 #include "exchange_part_evidence.hpp"
@@ -14,6 +15,7 @@
 #include "record_instance_pauses.hpp"
 #include "record_leaving_instances.hpp"
 #include "record_request_limits.hpp"
+#include "report_usage.hpp"
 #include "stop_proxy.hpp"
 #include "track_engine_losses.hpp"
 #include "update_directory.hpp"
@@ -27,6 +29,8 @@
     update_directory(w);
     exchange_loads(w);
     hold_duty_leases(w);
+    exchange_usage(w);
+    report_usage(w);
     record_leaving_instances(w);
     record_instance_pauses(w);
     record_request_limits(w);
--- a/src/usage_snapshot.hpp
+++ b/src/usage_snapshot.hpp
@@ -1,6 +1,8 @@
 #ifndef AGATELEDGE_USAGE_SNAPSHOT_HPP
 #define AGATELEDGE_USAGE_SNAPSHOT_HPP
 
+#include "time.hpp"
+
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -45,6 +47,8 @@
     /// Version of the lease's row, and era of the store.
     std::uint64_t version = 0;
     std::uint64_t era = 0;
+    /// Version of the row with the highest fencing token.
+    std::uint64_t fence_version = 0;
 
     auto operator<=>(lease_notice const &) const = default;
 };
@@ -62,6 +66,10 @@
     /// Window in which the sender counts now; 0 in a report of leases. Its
     /// counts of the earlier windows are complete.
     std::int64_t open_window = 0;
+    /// Time since the Unix epoch: the sender's estimate from its own clock. In
+    /// a report of the lease of the usage reports, the median over the fleet; 0
+    /// in one of other leases.
+    duration wall_time{};
     /// Leases of the sender. A report with leases has no counts and replaces
     /// only earlier reports with leases.
     std::vector<lease_notice> leases;
--- a/src/usage_snapshot_codec.cpp
+++ b/src/usage_snapshot_codec.cpp
@@ -12,10 +12,11 @@
 {
 
 /// GVariant type of a report: format version, sender, incarnation, sequence,
-/// open window, closed window, the counts as (window, account, requests), the
-/// services as (name, requests, unread tokens, late, refused), and the leases
-/// as (duty, holder, incarnation, fencing, version, era).
-constexpr char const *format = "(ysttxxa(xsu)a(stttt)a(ystttt))";
+/// open window, closed window, wall-clock time in microseconds, the counts as
+/// (window, account, requests), the services as (name, requests, unread tokens,
+/// late, refused), and the leases as (duty, holder, incarnation, fencing,
+/// version, era).
+constexpr char const *format = "(ysttxxxa(xsu)a(stttt)a(ysttttt))";
 
 /// Must be changed together with `format`. Differs from the first bytes of the
 /// other kinds of datagrams.
@@ -76,11 +77,13 @@
     guint64 fencing = 0;
     guint64 version = 0;
     guint64 era = 0;
-    while (g_variant_iter_next(items, "(y&stttt)", &item, &holder, &incarnation,
-                               &fencing, &version, &era) != 0)
+    guint64 fence = 0;
+    while (g_variant_iter_next(items, "(y&sttttt)", &item, &holder,
+                               &incarnation, &fencing, &version, &era,
+                               &fence) != 0)
     {
         out.leases.push_back(
-            {item, holder, incarnation, fencing, version, era});
+            {item, holder, incarnation, fencing, version, era, fence});
     }
 }
 
@@ -102,19 +105,20 @@
                               guint64{item.unread_tokens}, guint64{item.late},
                               guint64{item.refused});
     }
-    array_builder leases("a(ystttt)");
+    array_builder leases("a(ysttttt)");
     for (auto const &item : report.leases)
     {
-        g_variant_builder_add(&leases.value, "(ystttt)", guchar{item.item},
+        g_variant_builder_add(&leases.value, "(ysttttt)", guchar{item.item},
                               item.holder.c_str(), guint64{item.incarnation},
                               guint64{item.fencing}, guint64{item.version},
-                              guint64{item.era});
+                              guint64{item.era}, guint64{item.fence_version});
     }
     gvariant_ptr const variant(g_variant_ref_sink(
         g_variant_new(format, format_version, report.sender.c_str(),
                       guint64{report.incarnation}, guint64{report.sequence},
                       gint64{report.open_window}, gint64{report.closed_window},
-                      &starts.value, &services.value, &leases.value)));
+                      gint64{report.wall_time.count()}, &starts.value,
+                      &services.value, &leases.value)));
     return {static_cast<char const *>(g_variant_get_data(variant.get())),
             g_variant_get_size(variant.get())};
 }
@@ -132,12 +136,13 @@
     guint64 sequence = 0;
     gint64 open_window = 0;
     gint64 closed_window = 0;
+    gint64 wall_time = 0;
     array_reader starts;
     array_reader services;
     array_reader leases;
-    g_variant_get(variant.get(), "(y&sttxxa(xsu)a(stttt)a(ystttt))", &version,
+    g_variant_get(variant.get(), "(y&sttxxxa(xsu)a(stttt)a(ysttttt))", &version,
                   &sender, &incarnation, &sequence, &open_window,
-                  &closed_window, &starts.items, &services.items,
+                  &closed_window, &wall_time, &starts.items, &services.items,
                   &leases.items);
     if (version != format_version)
     {
@@ -149,6 +154,7 @@
     out.sequence = sequence;
     out.open_window = open_window;
     out.closed_window = closed_window;
+    out.wall_time = duration(wall_time);
     read_starts(starts.items, out);
     read_services(services.items, out);
     read_leases(leases.items, out);
