Keep reports equal when the store returns from an older copy

Cause: a trial of the model with traffic showed two reports of one window, after a late write of an earlier era had put other content into an older copy, and after a new holder had closed windows that the store had lost. Change: daemons tell each other the hashes of the newest closed windows; a report is sent once another daemon knows of it, and not when its content differs. A new holder waits for all known daemons before it closes windows that ended before the era.

--- a/src/count_usage.cpp
+++ b/src/count_usage.cpp
@@ -48,6 +48,10 @@
 /// Time for which the announced time of the fleet is used.
 constexpr duration fleet_time_lifetime = minutes(2);
 
+/// Windows whose hashes are kept; those of an outage of the platform's
+/// interface of more than a minute.
+constexpr std::size_t max_closed_hashes = 16;
+
 usage_state *counting(world &w)
 {
     return has_duties(w) && w.proxy.duties ? &usage_of(w) : nullptr;
@@ -118,6 +122,10 @@
     received.sequence = report.sequence;
     received.heard_at = w.now;
     received.open_window = std::max(received.open_window, report.open_window);
+    for (auto const &item : report.closed)
+    {
+        received.closed_window = std::max(received.closed_window, item.window);
+    }
     take_sample(received.time, report.wall_time - w.now.time_since_epoch(),
                 w.now);
     for (auto const &item : report.starts)
@@ -148,6 +156,10 @@
     auto &usage = usage_of(w);
     for (auto const &report : w.in.usage_snapshots)
     {
+        if (w.proxy.daemons.contains(report->sender))
+        {
+            w.proxy.duties->add_closed(report->closed);
+        }
         if (report->leases.empty())
         {
             accept_snapshot(w, *report);
@@ -163,6 +175,25 @@
     }
 }
 
+/// Windows that ended before a change of the era may have been reported,
+/// without a row that shows it, unless this daemon held the duty throughout.
+void record_era(world &w)
+{
+    auto const &duties = *w.proxy.duties;
+    auto &usage = usage_of(w);
+    auto const window = window_now(w);
+    if (usage.era == duties.era || !window)
+    {
+        return;
+    }
+    usage.era = duties.era;
+    auto const &lease = duties.lease(duty::report_usage);
+    if (!lease.held || w.now >= lease.authority_until)
+    {
+        usage.uncertain_until = *window;
+    }
+}
+
 void drop_closed_windows(world &w)
 {
     auto &usage = usage_of(w);
@@ -247,6 +278,7 @@
         out.sequence = ++duties.sequence;
         out.starts = part;
         out.wall_time = w.now.time_since_epoch() + *offset;
+        out.closed = duties.closed();
         if (&part == &parts.back())
         {
             out.open_window = window_now(w).value_or(0);
@@ -261,6 +293,30 @@
 
 } // namespace
 
+void duty_state::add_closed(std::vector<struct closed_window> const &windows)
+{
+    for (auto const &item : windows)
+    {
+        closed_hashes.try_emplace(item.window, item.hash);
+        closed_window = std::max(closed_window, item.window);
+    }
+    while (closed_hashes.size() > max_closed_hashes)
+    {
+        closed_hashes.erase(closed_hashes.begin());
+    }
+}
+
+std::vector<struct closed_window> duty_state::closed() const
+{
+    std::vector<struct closed_window> out;
+    std::ranges::transform(
+        closed_hashes, std::back_inserter(out),
+        [](auto const &item) {
+            return agateledge::closed_window{item.first, item.second};
+        });
+    return out;
+}
+
 usage_state &usage_of(world &w)
 {
     auto &usage = duties_of(w).usage;
@@ -379,6 +435,7 @@
         log_proxied_request(w, log_level::warning, "time_of_day_changed", {});
     }
     accept_snapshots(w);
+    record_era(w);
     drop_closed_windows(w);
     if (usage.next_snapshot <= w.now)
     {
--- a/src/duty_state.hpp
+++ b/src/duty_state.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace agateledge
 {
@@ -38,6 +39,9 @@
     instant next_rank{};
     /// Highest window whose counts are final.
     std::int64_t closed_window = 0;
+    /// Hashes of the newest such windows' reports. A row that a late write has
+    /// put into an older copy of the store can have another content.
+    std::map<std::int64_t, std::uint64_t> closed_hashes;
     /// What all daemons have asked of each service, as far as it was reported
     /// to this daemon. The sums only grow, also when daemons restart.
     std::map<std::string, service_activity> fleet_activity;
@@ -47,6 +51,12 @@
     std::map<std::string, std::uint64_t> reports;
     std::shared_ptr<usage_state> usage;
 
+    /// Records windows whose counts are final.
+    void add_closed(std::vector<struct closed_window> const &windows);
+
+    /// @return the newest windows whose counts are final
+    std::vector<struct closed_window> closed() const;
+
     duty_lease &lease(duty item)
     {
         return leases.at(static_cast<std::size_t>(item));
--- a/src/hold_duty_leases.cpp
+++ b/src/hold_duty_leases.cpp
@@ -485,8 +485,6 @@
         {
             continue;
         }
-        duties.closed_window =
-            std::max(duties.closed_window, report->closed_window);
         for (auto const &notice : report->leases)
         {
             if (notice.item < duty_count)
@@ -528,7 +526,7 @@
     out.sender = w.identity.name;
     out.incarnation = w.identity.incarnation.value();
     out.sequence = ++duties.sequence;
-    out.closed_window = duties.closed_window;
+    out.closed = duties.closed();
     if (duties.lease(duty::report_usage).held)
     {
         out.wall_time = wall_time(w).value_or(duration());
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -1,5 +1,7 @@
 #include "proxy_metrics_text.hpp"
 
+#include "duty_state.hpp"
+#include "hold_duty_leases.hpp"
 #include "world.hpp"
 
 #include <sstream>
@@ -12,10 +14,10 @@
 
 constexpr char const *prefix = "agateledge_relay_";
 
-void write_counters(std::ostream &out, char const *name, char const *label,
-                    proxy_metrics::counter_map const &values)
+void write_labelled(std::ostream &out, char const *name, char const *type,
+                    char const *label, proxy_metrics::counter_map const &values)
 {
-    out << "# TYPE " << prefix << name << " counter\n";
+    out << "# TYPE " << prefix << name << " " << type << "\n";
     for (auto const &[value, count] : values)
     {
         out << prefix << name << "{" << label << "=\"" << value << "\"} "
@@ -23,6 +25,12 @@
     }
 }
 
+void write_counters(std::ostream &out, char const *name, char const *label,
+                    proxy_metrics::counter_map const &values)
+{
+    write_labelled(out, name, "counter", label, values);
+}
+
 void write_value(std::ostream &out, char const *name, char const *type,
                  double value)
 {
@@ -54,6 +62,28 @@
                                  : -1;
 }
 
+/// Writes the metrics of a daemon that has duties.
+void write_duties(std::ostream &out, world const &w)
+{
+    if (!w.proxy.duties)
+    {
+        return;
+    }
+    auto const &duties = *w.proxy.duties;
+    proxy_metrics::counter_map held;
+    proxy_metrics::counter_map fencing;
+    for (auto const &lease : duties.leases)
+    {
+        auto const name = std::string(name_of(lease.item));
+        held[name] = authority_over(w, lease.item) ? 1 : 0;
+        fencing[name] = lease.row.fencing.value();
+    }
+    write_labelled(out, "duty_authority", "gauge", "duty", held);
+    write_labelled(out, "duty_fencing_token", "gauge", "duty", fencing);
+    write_counters(out, "usage_snapshots_total", "result", duties.snapshots);
+    write_counters(out, "usage_reports_total", "result", duties.reports);
+}
+
 } // namespace
 
 std::string proxy_metrics_text(world const &w)
@@ -115,6 +145,7 @@
                 table_age_s(w, polled_table::configuration));
     write_value(out, "directory_age_seconds", "gauge",
                 table_age_s(w, polled_table::instances));
+    write_duties(out, w);
     write_latency(out, "queued_seconds", metrics.queued);
     write_latency(out, "first_event_seconds", metrics.first_event);
     write_latency(out, "late_by_seconds", metrics.late_by);
--- a/src/report_usage.cpp
+++ b/src/report_usage.cpp
@@ -12,6 +12,8 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <iterator>
 #include <limits>
@@ -37,6 +39,16 @@
 /// holder.
 constexpr duration collection_time = milliseconds(1500);
 
+/// Time for which windows wait for daemons that may know that the store has
+/// lost a report; exceeds the lifetime of the row of a daemon that has ended.
+constexpr duration max_uncertainty = seconds(20);
+
+/// Time before a report is due at which it is sent although no other daemon has
+/// confirmed that it knows of it.
+constexpr duration echo_margin = milliseconds(1500);
+
+constexpr duration others_check_interval = milliseconds(200);
+
 constexpr duration read_timeout = seconds(1);
 constexpr duration read_retry = milliseconds(300);
 constexpr duration call_timeout = seconds(2);
@@ -106,11 +118,23 @@
     return out;
 }
 
-void add_row(stored_row const &row, usage_report &report)
+std::uint64_t hash_of(usage_report const &report)
+{
+    std::string text;
+    for (auto const &[account, requests] : report.requests)
+    {
+        text += account + '\0' + std::to_string(requests) + '\n';
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
+void add_row(world &w, stored_row const &row, usage_report &report)
 {
     auto const counts = json_from_text(row.value);
     if (!counts.ok() || !counts->isObject())
     {
+        log_proxied_request(w, log_level::error, "usage_row_unreadable",
+                            {{"key", row.key}});
         return;
     }
     for (auto const &account : counts->getMemberNames())
@@ -164,7 +188,7 @@
         {
             usage.rows.insert(row.key);
             stored[*window].window = *window;
-            add_row(row, stored[*window]);
+            add_row(w, row, stored[*window]);
         }
     }
     for (auto &[window, item] : usage.pending)
@@ -340,6 +364,57 @@
     wake_at(w, w.now);
 }
 
+/// @return true when all known daemons have told which windows are closed since
+///         the rows were read
+bool has_heard_all(world &w)
+{
+    auto const &usage = usage_of(w);
+    return std::ranges::all_of(
+        w.proxy.daemons,
+        [&](auto const &peer)
+        {
+            auto const &name = peer.first;
+            return name == w.identity.name || peer.second.address.empty() ||
+                   std::ranges::any_of(usage.received,
+                                       [&](auto const &item)
+                                       {
+                                           return item.first.first == name &&
+                                                  item.second.heard_at >
+                                                      usage.synchronised_at;
+                                       });
+        });
+}
+
+enum class certainty
+{
+    known,
+    /// Another daemon may know of another report of the window.
+    waits,
+    /// Daemons that may know of one have not been heard.
+    unknown,
+};
+
+certainty certainty_of(world &w, std::int64_t window)
+{
+    auto const &usage = usage_of(w);
+    if (window > usage.uncertain_until || has_heard_all(w))
+    {
+        return certainty::known;
+    }
+    return w.now < usage.synchronised_at + max_uncertainty ? certainty::waits
+                                                           : certainty::unknown;
+}
+
+void skip_window(world &w, std::int64_t window)
+{
+    auto &duties = *w.proxy.duties;
+    duties.add_closed({{window, 0}});
+    ++duties.reports["missed"];
+    log_proxied_request(w, log_level::error, "usage_report_missed",
+                        {{"window", std::to_string(window)}});
+    wake_at(w, w.now);
+}
+
 void close_next_window(world &w)
 {
     auto &usage = usage_of(w);
@@ -360,9 +435,16 @@
     auto const end = end_of(w, *window);
     auto const latest = end + w.proxy.limits.duties.usage_due - report_margin;
     bool const settled = *time >= end + settle_time;
-    bool const must_close =
-        *time >= latest && w.now >= usage.synchronised_at + collection_time;
-    if ((settled && is_complete(w, *window)) || must_close)
+    // Other daemons may know of windows that the store has lost.
+    bool const collected = w.now >= usage.synchronised_at + collection_time;
+    auto const state = certainty_of(w, *window);
+    if (state == certainty::unknown)
+    {
+        skip_window(w, *window);
+        return;
+    }
+    if (state == certainty::known && collected && settled &&
+        (*time >= latest || is_complete(w, *window)))
     {
         auto const report = report_of(w, *window);
         usage.pending[*window] = pending_report{report};
@@ -395,8 +477,9 @@
         {
             usage.rows.erase(key);
         }
-        usage.pending[*usage.writing].written = true;
-        duties.closed_window = std::max(duties.closed_window, *usage.writing);
+        auto &item = usage.pending[*usage.writing];
+        item.written = true;
+        duties.add_closed({{*usage.writing, hash_of(item.report)}});
         // The others must know that the window is closed before it is reported
         // by another holder.
         duties.next_notice = w.now;
@@ -439,31 +522,6 @@
         std::make_shared<platform_call const>(std::move(call)));
 }
 
-void send_due_reports(world &w)
-{
-    auto &usage = usage_of(w);
-    auto const held = authority_over(w, duty::report_usage);
-    for (auto &[window, item] : usage.pending)
-    {
-        if (item.operation != 0 && w.now >= item.call_ends_at)
-        {
-            item.operation = 0;
-        }
-        bool const waits =
-            item.written && !item.accepted && item.operation == 0;
-        if (!waits || !held || open_calls(usage) >= max_open_calls)
-        {
-            continue;
-        }
-        if (item.next_call > w.now)
-        {
-            wake_at(w, item.next_call);
-            continue;
-        }
-        send_report(w, item, *held);
-    }
-}
-
 void finish_report(world &w, pending_report &item, bool accepted, int status)
 {
     auto &duties = *w.proxy.duties;
@@ -490,6 +548,64 @@
          {"status", std::to_string(status)}});
 }
 
+/// @return true when another daemon knows that the window is closed, so that
+///         its report is not made anew if this daemon ends and the store loses
+///         the row
+bool is_known_elsewhere(world &w, std::int64_t window)
+{
+    auto const &received = usage_of(w).received;
+    auto const time = wall_time(w).value_or(duration());
+    auto const latest =
+        end_of(w, window) + w.proxy.limits.duties.usage_due - echo_margin;
+    return time >= latest ||
+           std::ranges::any_of(received, [window](auto const &item)
+                               { return item.second.closed_window >= window; });
+}
+
+void send_due_reports(world &w)
+{
+    auto &usage = usage_of(w);
+    auto const held = authority_over(w, duty::report_usage);
+    for (auto &[window, item] : usage.pending)
+    {
+        if (item.operation != 0 && w.now >= item.call_ends_at)
+        {
+            item.operation = 0;
+        }
+        bool const waits =
+            item.written && !item.accepted && item.operation == 0;
+        if (!waits || !held || open_calls(usage) >= max_open_calls)
+        {
+            continue;
+        }
+        auto &duties = *w.proxy.duties;
+        auto const hash = hash_of(item.report);
+        auto const known = duties.closed_hashes.find(window);
+        bool const is_known = known != duties.closed_hashes.end();
+        auto const state =
+            is_known ? certainty::known : certainty_of(w, window);
+        bool const waits_for_others =
+            state == certainty::waits || !is_known_elsewhere(w, window);
+        if (waits_for_others)
+        {
+            wake_at(w, w.now + others_check_interval);
+            continue;
+        }
+        if (state == certainty::unknown || (is_known && known->second != hash))
+        {
+            finish_report(w, item, false, 0);
+            continue;
+        }
+        duties.add_closed({{window, hash}});
+        if (item.next_call > w.now)
+        {
+            wake_at(w, item.next_call);
+            continue;
+        }
+        send_report(w, item, *held);
+    }
+}
+
 void handle_reply(world &w, platform_reply const &reply)
 {
     auto &usage = usage_of(w);
--- a/src/usage_snapshot.hpp
+++ b/src/usage_snapshot.hpp
@@ -53,6 +53,15 @@
     auto operator<=>(lease_notice const &) const = default;
 };
 
+/// Content that was decided on for the report of a window.
+struct closed_window
+{
+    std::int64_t window = 0;
+    std::uint64_t hash = 0;
+
+    auto operator<=>(closed_window const &) const = default;
+};
+
 /// Report of a daemon to the holders of the duties, in datagrams. Each report
 /// replaces the sender's earlier ones, so a lost datagram is not repeated.
 struct usage_snapshot
@@ -73,8 +82,8 @@
     /// Leases of the sender. A report with leases has no counts and replaces
     /// only earlier reports with leases.
     std::vector<lease_notice> leases;
-    /// Highest window whose counts are final; in a report with leases.
-    std::int64_t closed_window = 0;
+    /// Windows with final counts, as far as the sender knows; the newest ones.
+    std::vector<struct closed_window> closed;
 
     auto operator<=>(usage_snapshot const &) const = default;
 };
--- a/src/usage_snapshot_codec.cpp
+++ b/src/usage_snapshot_codec.cpp
@@ -12,11 +12,11 @@
 {
 
 /// GVariant type of a report: format version, sender, incarnation, sequence,
-/// open window, closed window, wall-clock time in microseconds, the counts as
+/// open window, wall-clock time in microseconds, the counts as
 /// (window, account, requests), the services as (name, requests, unread tokens,
 /// late, refused), and the leases as (duty, holder, incarnation, fencing,
 /// version, era).
-constexpr char const *format = "(ysttxxxa(xsu)a(stttt)a(ysttttt))";
+constexpr char const *format = "(ysttxxa(xsu)a(stttt)a(ysttttt)a(xt))";
 
 /// Must be changed together with `format`. Differs from the first bytes of the
 /// other kinds of datagrams.
@@ -87,6 +87,16 @@
     }
 }
 
+void read_closed(GVariantIter *items, usage_snapshot &out)
+{
+    gint64 window = 0;
+    guint64 hash = 0;
+    while (g_variant_iter_next(items, "(xt)", &window, &hash) != 0)
+    {
+        out.closed.push_back({window, hash});
+    }
+}
+
 } // namespace
 
 std::string encode_usage_snapshot(usage_snapshot const &report)
@@ -113,12 +123,17 @@
                               guint64{item.fencing}, guint64{item.version},
                               guint64{item.era}, guint64{item.fence_version});
     }
-    gvariant_ptr const variant(g_variant_ref_sink(
-        g_variant_new(format, format_version, report.sender.c_str(),
-                      guint64{report.incarnation}, guint64{report.sequence},
-                      gint64{report.open_window}, gint64{report.closed_window},
-                      gint64{report.wall_time.count()}, &starts.value,
-                      &services.value, &leases.value)));
+    array_builder closed("a(xt)");
+    for (auto const &item : report.closed)
+    {
+        g_variant_builder_add(&closed.value, "(xt)", gint64{item.window},
+                              guint64{item.hash});
+    }
+    gvariant_ptr const variant(g_variant_ref_sink(g_variant_new(
+        format, format_version, report.sender.c_str(),
+        guint64{report.incarnation}, guint64{report.sequence},
+        gint64{report.open_window}, gint64{report.wall_time.count()},
+        &starts.value, &services.value, &leases.value, &closed.value)));
     return {static_cast<char const *>(g_variant_get_data(variant.get())),
             g_variant_get_size(variant.get())};
 }
@@ -135,15 +150,15 @@
     guint64 incarnation = 0;
     guint64 sequence = 0;
     gint64 open_window = 0;
-    gint64 closed_window = 0;
     gint64 wall_time = 0;
     array_reader starts;
     array_reader services;
     array_reader leases;
-    g_variant_get(variant.get(), "(y&sttxxxa(xsu)a(stttt)a(ysttttt))", &version,
-                  &sender, &incarnation, &sequence, &open_window,
-                  &closed_window, &wall_time, &starts.items, &services.items,
-                  &leases.items);
+    array_reader closed;
+    g_variant_get(variant.get(), "(y&sttxxa(xsu)a(stttt)a(ysttttt)a(xt))",
+                  &version, &sender, &incarnation, &sequence, &open_window,
+                  &wall_time, &starts.items, &services.items, &leases.items,
+                  &closed.items);
     if (version != format_version)
     {
         return std::nullopt;
@@ -153,11 +168,11 @@
     out.incarnation = incarnation;
     out.sequence = sequence;
     out.open_window = open_window;
-    out.closed_window = closed_window;
     out.wall_time = duration(wall_time);
     read_starts(starts.items, out);
     read_services(services.items, out);
     read_leases(leases.items, out);
+    read_closed(closed.items, out);
     return out;
 }
 
--- a/src/usage_state.hpp
+++ b/src/usage_state.hpp
@@ -38,6 +38,8 @@
 {
     std::uint64_t sequence = 0;
     std::int64_t open_window = 0;
+    /// Highest window that the daemon knows as closed.
+    std::int64_t closed_window = 0;
     window_counts counts;
     activity_by_service services;
     offset_sample time;
@@ -75,6 +77,10 @@
     /// This daemon's activity that is part of the sums of the fleet.
     activity_by_service summed_activity;
     instant next_snapshot{};
+    /// Era of the store that is known, and the last window that another holder
+    /// may have reported in the history that the store lost.
+    std::uint64_t era = 0;
+    std::int64_t uncertain_until = 0;
     /// Reports by sender and incarnation.
     std::map<std::pair<std::string, std::uint64_t>, reported_usage> received;
 
