Rewrite the newest report's row after the store has lost it

Cause: the newest row states which windows are reported; a successor without any other knowledge made a lost window anew. Change: the holder writes it again in the new era, also when it is accepted. The model starts stopped daemons one after the other: when all start at once after the store lost a row, nothing knows of it any more.

--- a/src/report_usage.cpp
+++ b/src/report_usage.cpp
@@ -418,9 +418,15 @@
 void close_next_window(world &w)
 {
     auto &usage = usage_of(w);
+    auto const newest = w.proxy.duties->closed_window;
     auto const unwritten = std::ranges::find_if(
-        usage.pending, [](auto const &item)
-        { return !item.second.written && !item.second.accepted; });
+        usage.pending,
+        [newest](auto const &item)
+        {
+            // The newest row states which windows are reported.
+            return !item.second.written &&
+                   (!item.second.accepted || item.first == newest);
+        });
     if (unwritten != usage.pending.end())
     {
         write_report(w, unwritten->second.report);
@@ -635,12 +641,14 @@
 
 /// Forgets finished reports without rows; the newest row stays in the store,
 /// because it states which windows are reported.
-void forget_finished_reports(usage_state &usage)
+void forget_finished_reports(world &w)
 {
+    auto &usage = usage_of(w);
+    auto const newest = w.proxy.duties->closed_window;
     std::erase_if(usage.pending,
-                  [&usage](auto const &item)
+                  [&usage, newest](auto const &item)
                   {
-                      return item.second.accepted &&
+                      return item.second.accepted && item.first != newest &&
                              !usage.rows.contains(row_key(item.first, 0));
                   });
 }
@@ -682,7 +690,7 @@
         close_next_window(w);
     }
     send_due_reports(w);
-    forget_finished_reports(usage);
+    forget_finished_reports(w);
 }
 
 } // namespace agateledge
