--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -9,6 +9,7 @@
 #include "ids.hpp"
 #include "instance_client.hpp"
 #include "overload_gate.hpp"
+#include "platform_client.hpp"
 #include "proxy_codec.hpp"
 #include "proxy_listener.hpp"
 #include "proxy_settings.hpp"
@@ -64,6 +65,7 @@
     bool ready() const;
 
     void install_handlers();
+    void set_up_duties();
     void apply(proxy_settings const &config);
     void reload_if_changed();
     std::optional<std::string> read_settings_file_text() const;
@@ -73,6 +75,7 @@
                         std::string const &bytes);
     void send_part_evidence(part_evidence_send const &send);
     void send_store_view(peer_report<store_view_report> const &send);
+    void send_usage_snapshot(peer_report<usage_snapshot> const &send);
     void handle_datagram(std::string_view bytes);
     void install_configuration_sharing();
     void fetch_configuration(configuration_fetch const &fetch);
@@ -97,6 +100,7 @@
     instance_client instances_;
     cache_reader caches_;
     row_client rows_;
+    platform_client platform_;
     datagram_socket peers_;
     http_server neighbours_;
     /// Newest configuration, as the store sent it, for neighbours that the
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -2,11 +2,13 @@
 
 #include "admit_proxied_requests.hpp"
 #include "advance_proxied_requests.hpp"
+#include "count_usage.hpp"
 #include "eject_instances.hpp"
 #include "exchange_account_loads.hpp"
 #include "exchange_loads.hpp"
 #include "exchange_part_evidence.hpp"
 #include "expire_proxied_requests.hpp"
+#include "hold_duty_leases.hpp"
 #include "hold_suspected_prompts.hpp"
 #include "order_capacity.hpp"
 #include "place_proxied_requests.hpp"
@@ -15,6 +17,7 @@
 #include "record_instance_pauses.hpp"
 #include "record_leaving_instances.hpp"
 #include "record_request_limits.hpp"
+#include "report_usage.hpp"
 #include "share_store_reads.hpp"
 #include "stop_proxy.hpp"
 #include "track_engine_losses.hpp"
@@ -31,8 +34,11 @@
     update_directory(w);
     share_store_reads(w);
     exchange_loads(w);
-    order_capacity(w, authority_over(w, duty::order_capacity));
     exchange_account_loads(w);
+    hold_duty_leases(w);
+    exchange_usage(w);
+    report_usage(w);
+    order_capacity(w, authority_over(w, duty::order_capacity));
     record_leaving_instances(w);
     record_instance_pauses(w);
     record_request_limits(w);
