Ask neighbours for the configuration while the store refuses a daemon

Cause: in a trial with two relays and ten rows of ended daemons, nobody read for the others, so that a refused daemon heard of no announcement and kept version 1. Change: a daemon that the store fails asks a random neighbour once a second for a version other than its own, and a follower that finds a version that nobody announced announces it. Without datagrams at all, a refused daemon may take 3.9 s, above the bound of 3 s.

--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -26,6 +26,7 @@
 constexpr guint file_check_interval_ms = 2000;
 
 constexpr int http_ok = 200;
+constexpr int http_no_content = 204;
 constexpr int http_not_found = 404;
 constexpr int http_unavailable = 503;
 
@@ -33,6 +34,10 @@
 /// its datagrams.
 constexpr char const *configuration_path = "/configuration";
 
+/// Query parameter with the version that the asking daemon has; the same one is
+/// not sent again.
+constexpr char const *known_version_parameter = "known";
+
 /// Timeout of a fetch of the configuration from another daemon. Three such
 /// fetches take less than the time in which a configuration must be in force.
 constexpr duration fetch_timeout = milliseconds(400);
@@ -300,12 +305,24 @@
     { fetch_configuration(fetch); };
     neighbours_.add(configuration_path,
                     [this](std::shared_ptr<http_exchange> const &request)
-                    {
-                        request->reply(configuration_text_.empty()
-                                           ? http_not_found
-                                           : http_ok,
-                                       configuration_text_);
-                    });
+                    { give_configuration(*request); });
+}
+
+void proxy_process::give_configuration(http_exchange &request)
+{
+    auto const known = request.query(known_version_parameter);
+    if (configuration_version_ == 0)
+    {
+        request.reply(http_not_found, {});
+    }
+    else if (known == std::to_string(configuration_version_))
+    {
+        request.reply(http_no_content, {});
+    }
+    else
+    {
+        request.reply(http_ok, configuration_text_);
+    }
 }
 
 void proxy_process::keep_configuration(std::uint64_t version,
@@ -322,7 +339,9 @@
 {
     http_request request;
     request.address = fetch.address;
-    request.path = configuration_path;
+    request.path = std::string(configuration_path) + "?" +
+                   known_version_parameter + "=" +
+                   std::to_string(state_.proxy.routing->version);
     request.total_timeout = fetch_timeout;
     request.new_connection = true;
     http_.send(request, [this, fetch](http_reply const &reply)
@@ -346,8 +365,14 @@
         view.fetch.received = decoded.configuration;
         view.fetch.start_check_done = true;
     }
+    else if (reply.answered_status() == http_no_content)
+    {
+        outcome = "same_version";
+        view.fetch.start_check_done = true;
+    }
     ++view.fetch_counts[outcome];
-    log(log_level::info, "neighbour_configuration",
+    log(decoded.configuration ? log_level::info : log_level::debug,
+        "neighbour_configuration",
         {{"peer", fetch.peer},
          {"outcome", outcome},
          {"version", decoded.configuration
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -28,6 +28,8 @@
 namespace agateledge
 {
 
+class http_exchange;
+
 /// One proxy daemon behind the platform's load balancer: its state, event loop
 /// and network adapters, on the default GLib main context.
 class proxy_process
@@ -72,6 +74,7 @@
     void send_store_view(peer_report<store_view_report> const &send);
     void handle_datagram(std::string_view bytes);
     void install_configuration_sharing();
+    void give_configuration(http_exchange &request);
     void fetch_configuration(configuration_fetch const &fetch);
     void handle_fetched_configuration(configuration_fetch const &fetch,
                                       http_reply const &reply);
--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -354,6 +354,17 @@
     }
 }
 
+/// @return true when this daemon has a newer configuration that nobody has
+///         announced to it, since no reader is heard at present
+bool found_configuration(world const &w)
+{
+    auto const &view = *w.proxy.store_view;
+    auto const version = w.proxy.routing->version;
+    return view.shared_configuration != 0 &&
+           version > view.shared_configuration &&
+           version > view.fetch.announced_version;
+}
+
 /// @return name of the neighbour to ask: the one that announced the version,
 ///         then others at random; empty when none is known
 std::string next_neighbour(world &w)
@@ -417,6 +428,31 @@
             w.now >= fetch.announced_at + own_read_time);
 }
 
+/// Asks a neighbour now and then while the store does not answer this daemon,
+/// since the announcement of a newer configuration may have been lost.
+void ask_while_refused(world &w)
+{
+    auto &fetch = w.proxy.store_view->fetch;
+    auto const &poll_state = poll_state_of(w, polled_table::configuration);
+    if (w.proxy.store.era == 0 || poll_state.failures == 0)
+    {
+        return;
+    }
+    auto const due = std::max(
+        fetch.next_attempt,
+        w.proxy.store_view->known_at.at(index_of(polled_table::configuration)) +
+            neighbour_pause);
+    if (w.now < due)
+    {
+        wake_at(w, due);
+        return;
+    }
+    fetch.next_attempt = w.now + neighbour_pause;
+    // Any neighbour, not only the last one that announced a version.
+    fetch.attempts = 1;
+    ask_neighbour(w);
+}
+
 void fetch_configuration(world &w)
 {
     auto &fetch = w.proxy.store_view->fetch;
@@ -432,6 +468,7 @@
     }
     if (!newer_configuration_announced(w))
     {
+        ask_while_refused(w);
         return;
     }
     if (!announced_configuration_is_due(w))
@@ -477,11 +514,13 @@
     auto &view = *w.proxy.store_view;
     view.step_base = poll_state_of(w, polled_table::instances).version;
     bool const has_news = std::exchange(view.has_news, false);
-    if (has_news && view.is_reader && w.proxy.store.era != 0 &&
-        poll_state_of(w, polled_table::instances).fully_read)
+    bool const shares = w.proxy.store.era != 0 && !is_mesh(w) &&
+                        poll_state_of(w, polled_table::instances).fully_read;
+    if (shares && (view.is_reader ? has_news : found_configuration(w)))
     {
         send_report(w);
     }
+    view.shared_configuration = w.proxy.routing->version;
     fetch_configuration(w);
 }
 
--- a/src/store_view_state.hpp
+++ b/src/store_view_state.hpp
@@ -103,6 +103,8 @@
     std::vector<view_change> changes;
     /// A read was answered in this tick.
     bool has_news = false;
+    /// Version of the configuration at the end of the last tick.
+    std::uint64_t shared_configuration = 0;
     std::uint64_t sequence = 0;
     std::map<std::string, view_sender> senders;
     /// Daemons that are expected to read, with the last times at which they
--- a/test/correctness/share_store_reads_test.cpp
+++ b/test/correctness/share_store_reads_test.cpp
@@ -422,6 +422,19 @@
     all.configure(2);
     all.advance(seconds(1));
     EXPECT_TRUE(all.all_have(2));
+    // Nobody reads for the others now, and one daemon in three can.
+    all.is_refused = [readers](std::string const &name)
+    { return std::ranges::count(readers, name) != 0 || name.back() > '2'; };
+    all.configure(3);
+    all.advance(configuration_time);
+    EXPECT_TRUE(all.all_have(3));
+    // One daemon is refused and no datagram arrives.
+    all.is_refused = [](std::string const &name) { return name == "edge-7"; };
+    all.loses_datagram = [] { return true; };
+    all.advance(seconds(5));
+    all.configure(4);
+    all.advance(configuration_time + seconds(1));
+    EXPECT_TRUE(all.all_have(4));
 }
 
 TEST(share_store_reads, a_daemon_that_starts_takes_the_newest_configuration)
