Bound connections and incomplete heads of clients at all listeners

Cause: connections without a request kept their places until a time-out, new ones were closed instead, and the listeners for readiness and metrics had no limit (521 descriptors with a setting of 400). Heads that do not end could take 100 KB on each connection. Change: when all connections are in use, an idle one is closed for a new one, first of the client address that has the most, then one whose client has stalled in a body or does not read its answer. A new connection is kept for 1 s for its first request. Incomplete heads, chunk headers and trailers take at most a sixteenth of the host's memory, and a head that has begun ends within 4 s. Accepting pauses while closed connections are not released yet or the process has no descriptor. http_server uses connection_acceptor and holds bodies in blocks. The daemon is not ready while it cannot accept a connection. Log event client_limited, metric limited_clients_total, settings head_timeout_ms, silent_client_ms, stalled_client_ms and internal_connections.

--- a/src/caller_exchange.hpp
+++ b/src/caller_exchange.hpp
@@ -72,11 +72,11 @@
     void flush();
 
     /// Subtracts bytes that were written to the connection from
-    /// `buffered_bytes`.
+    /// `unread_bytes`.
     void record_written(std::int64_t bytes);
 
     /// @return bytes of the answer that are not yet written to the connection
-    std::int64_t buffered_bytes() const { return buffered_bytes_; }
+    std::int64_t unread_bytes() const { return buffered_bytes_; }
 
     /// @return true once the complete answer has been produced
     bool answered() const { return answered_; }
--- a/src/caller_listener.cpp
+++ b/src/caller_listener.cpp
@@ -339,14 +339,14 @@
 void caller_listener::update_backpressure(caller_exchange &exchange)
 {
     auto *key = server_.connection_of(exchange);
-    if (exchange.buffered_bytes() <= 0)
+    if (exchange.unread_bytes() <= 0)
     {
         acceptor().clear_deadline(key);
         set_stalled(exchange, false);
         return;
     }
     acceptor().set_deadline(key, reader_timeout);
-    if (exchange.buffered_bytes() > limits_.max_buffered_bytes)
+    if (exchange.unread_bytes() > limits_.max_buffered_bytes)
     {
         set_stalled(exchange, true);
     }
--- a/src/exchange_server.hpp
+++ b/src/exchange_server.hpp
@@ -27,16 +27,13 @@
 /// Time within which a caller must read some of the bytes buffered for it.
 constexpr duration reader_timeout = seconds(30);
 
-/// Time without a byte after which a body that is not complete is given up
-/// before others; clients within their limits send one in much less time.
-constexpr duration stalled_body_time = seconds(1);
-
 /// HTTP server of one listener. Keeps an `Exchange` for each request, from its
 /// start to the end of its answer, and calls the listener's handlers as it
 /// progresses.
 ///
 /// @tparam Exchange made from a `SoupServerMessage *`; has `message()`,
-///         `answered()` and the counter `body_bytes`
+///         `answered()`, `unread_bytes()` of its answer and the counter
+///         `body_bytes`
 template <class Exchange>
 class exchange_server
 {
@@ -67,7 +64,7 @@
     exchange_server(char const *server_header, listener_limits limits)
         : server_(soup_server_new("server-header", server_header, "raw-paths",
                                   TRUE, nullptr)),
-          acceptor_(server_.get(), limits),
+          acceptor_(server_.get(), limits), stalled_time_(limits.stalled_time),
           max_receiving_bytes_(limits.memory.request_bytes()),
           max_body_bytes_(2 * limits.memory.request_bytes())
     {
@@ -77,6 +74,7 @@
         acceptor_.on_peer_closed =
             [this](connection_acceptor::connection_key key)
         { peer_closed(key); };
+        acceptor_.make_room = [this] { return close_stalled(); };
     }
 
     ~exchange_server()
@@ -142,7 +140,12 @@
         block_text body;
         /// Memory of the body; it stays after the body was taken.
         std::size_t held_bytes = 0;
+        /// Last time at which bytes of the request arrived, or bytes of the
+        /// answer were written.
         instant progress_at{};
+        /// Time at which `close_stalled` first found that the client had not
+        /// read the answer.
+        instant unread_since = instant::max();
     };
 
     static exchange_server &server_of(gpointer self)
@@ -157,9 +160,13 @@
 
     static void got_headers(SoupServerMessage *message, gpointer self)
     {
-        if (auto *exchange = server_of(self).find(message))
+        auto &server = server_of(self);
+        if (auto *exchange = server.find(message))
         {
-            server_of(self).handlers.on_headers(*exchange);
+            server.acceptor_.begin_request(connection_of(*exchange));
+            server.exchanges_.at(message).progress_at =
+                daemon_loop::clock_now();
+            server.handlers.on_headers(*exchange);
         }
     }
 
@@ -171,9 +178,13 @@
 
     static void wrote(SoupServerMessage *message, guint bytes, gpointer self)
     {
-        if (auto *exchange = server_of(self).find(message))
+        auto &server = server_of(self);
+        if (auto *exchange = server.find(message))
         {
-            server_of(self).handlers.on_written(*exchange, bytes);
+            auto &item = server.exchanges_.at(message);
+            item.progress_at = daemon_loop::clock_now();
+            item.unread_since = instant::max();
+            server.handlers.on_written(*exchange, bytes);
         }
     }
 
@@ -226,6 +237,7 @@
             return;
         }
         handlers.on_end(*found->second.exchange);
+        acceptor_.end_request(connection_of(*found->second.exchange));
         auto const connection =
             by_connection_.find(connection_of(*found->second.exchange));
         if (connection != by_connection_.end() && connection->second == message)
@@ -253,6 +265,8 @@
         auto const *bytes =
             static_cast<char const *>(g_bytes_get_data(chunk, &size));
         handlers.on_body(*item.exchange, static_cast<std::int64_t>(size));
+        item.progress_at = daemon_loop::clock_now();
+        item.unread_since = instant::max();
         if (item.exchange->answered())
         {
             item.body.clear();
@@ -260,7 +274,6 @@
         else
         {
             item.body.append({bytes, size});
-            item.progress_at = daemon_loop::clock_now();
         }
         set_held_bytes(item, item.body.capacity());
         if (receiving_bytes_ > max_receiving_bytes_ ||
@@ -301,7 +314,7 @@
     /// into their limits.
     void refuse_over_memory()
     {
-        auto const stalled_since = daemon_loop::clock_now() - stalled_body_time;
+        auto const stalled_since = daemon_loop::clock_now() - stalled_time_;
         std::vector<held_exchange *> items;
         std::vector<held_message> messages;
         for (auto *message : receiving_)
@@ -322,11 +335,68 @@
                 auto &item = *items.at(index);
                 item.body.clear();
                 set_held_bytes(item, 0);
+                report_limit(item, "body_memory");
                 handlers.on_memory_exhausted(*item.exchange);
                 close_after_answer(item.exchange->message());
             });
     }
 
+    /// Shuts down the connection whose client has stalled for the longest time,
+    /// in the middle of a body or of an answer that is ready.
+    ///
+    /// @return false when there is none
+    bool close_stalled()
+    {
+        auto const now = daemon_loop::clock_now();
+        held_exchange *chosen = nullptr;
+        for (auto &[message, item] : exchanges_)
+        {
+            if (is_stalled(item, now) &&
+                (chosen == nullptr || item.progress_at < chosen->progress_at))
+            {
+                chosen = &item;
+            }
+        }
+        if (chosen == nullptr)
+        {
+            return false;
+        }
+        acceptor_.shut_down(connection_of(*chosen->exchange),
+                            has_answer(*chosen->exchange) ? "answer_unread"
+                                                          : "body_stalled");
+        return true;
+    }
+
+    static bool has_answer(Exchange const &exchange)
+    {
+        return exchange.answered() || exchange.unread_bytes() > 0;
+    }
+
+    bool is_stalled(held_exchange &item, instant now) const
+    {
+        auto const &exchange = *item.exchange;
+        if (acceptor_.is_closing(connection_of(exchange)))
+        {
+            return false;
+        }
+        if (has_answer(exchange))
+        {
+            item.unread_since = std::min(item.unread_since, now);
+            return now - item.unread_since >= stalled_time_;
+        }
+        return item.progress_at != instant{} &&
+               receiving_.contains(exchange.message()) &&
+               now - item.progress_at >= stalled_time_;
+    }
+
+    void report_limit(held_exchange const &item, char const *reason)
+    {
+        if (acceptor_.on_limited)
+        {
+            acceptor_.on_limited(remote_host(item.exchange->message()), reason);
+        }
+    }
+
     /// @return limit of the bodies that are being received, beside the complete
     ///         ones; some room is left below it, because each choice looks at
     ///         all bodies
@@ -339,6 +409,7 @@
 
     gobject_ptr<SoupServer> server_;
     connection_acceptor acceptor_;
+    duration stalled_time_;
     std::size_t max_receiving_bytes_;
     std::size_t max_body_bytes_;
     /// Memory of the bodies that are being received, and of all bodies.
--- a/src/guarded_stream.cpp
+++ b/src/guarded_stream.cpp
@@ -30,6 +30,7 @@
 struct guard_state
 {
     gobject_ptr<GIOStream> base;
+    std::shared_ptr<connection_activity> activity;
     request_framing framing;
     /// Checked bytes that were not read yet.
     std::string ready;
@@ -106,10 +107,21 @@
             }
             burst_bytes += static_cast<std::size_t>(count);
             framing.add({bytes.data(), static_cast<std::size_t>(count)}, ready);
+            report_unfinished_bytes();
         }
         return take(buffer, size);
     }
 
+    void report_unfinished_bytes() const
+    {
+        auto const before = std::exchange(activity->unfinished_bytes,
+                                          framing.unfinished_bytes());
+        if (before != activity->unfinished_bytes && activity->on_change)
+        {
+            activity->on_change(before);
+        }
+    }
+
     static bool is_end(gssize count, GError **error)
     {
         return count == 0 ||
@@ -307,11 +319,13 @@
 
 } // namespace
 
-gobject_ptr<GIOStream> guard_requests(GIOStream *base)
+gobject_ptr<GIOStream>
+guard_requests(GIOStream *base, std::shared_ptr<connection_activity> activity)
 {
     auto *input = static_cast<guarded_input *>(
         g_object_new(guarded_input_type(), nullptr));
     input->state->base = gobject_share(base);
+    input->state->activity = std::move(activity);
     auto *connection = static_cast<guarded_connection *>(
         g_object_new(guarded_connection_type(), nullptr));
     connection->base = gobject_share(base).release();
--- a/src/guarded_stream.hpp
+++ b/src/guarded_stream.hpp
@@ -1,10 +1,13 @@
 #ifndef AGATELEDGE_GUARDED_STREAM_HPP
 #define AGATELEDGE_GUARDED_STREAM_HPP
 
+#include "connection_activity.hpp"
 #include "gobject_ptr.hpp"
 
 #include <gio/gio.h>
 
+#include <memory>
+
 namespace agateledge
 {
 
@@ -13,8 +16,10 @@
 /// answered with status 400, and reading fails.
 ///
 /// @param base stream of the connection, possibly encrypted; must be pollable
+/// @param activity is kept up to date
 /// @return the stream to read requests from and to write answers to
-gobject_ptr<GIOStream> guard_requests(GIOStream *base);
+gobject_ptr<GIOStream>
+guard_requests(GIOStream *base, std::shared_ptr<connection_activity> activity);
 
 } // namespace agateledge
 
--- a/src/http_exchange.cpp
+++ b/src/http_exchange.cpp
@@ -5,9 +5,11 @@
 namespace agateledge
 {
 
-http_exchange::http_exchange(SoupServerMessage *message, GHashTable *query)
+http_exchange::http_exchange(SoupServerMessage *message, GHashTable *query,
+                             std::string body)
     : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))),
-      query_(query == nullptr ? nullptr : g_hash_table_ref(query))
+      query_(query == nullptr ? nullptr : g_hash_table_ref(query)),
+      body_(std::move(body))
 {
     finished_handler_ = g_signal_connect(
         message_, "finished", G_CALLBACK(&http_exchange::finished), this);
@@ -43,15 +45,6 @@
     return g_uri_get_path(soup_server_message_get_uri(message_));
 }
 
-std::string http_exchange::body() const
-{
-    auto *body = soup_server_message_get_request_body(message_);
-    return body->data == nullptr
-               ? std::string()
-               : std::string(body->data,
-                             static_cast<std::size_t>(body->length));
-}
-
 std::string http_exchange::header(char const *name) const
 {
     auto const *value = soup_message_headers_get_one(
--- a/src/http_exchange.hpp
+++ b/src/http_exchange.hpp
@@ -18,14 +18,16 @@
 public:
     /// @param message request; the exchange keeps a reference
     /// @param query parsed query string, or null
-    http_exchange(SoupServerMessage *message, GHashTable *query);
+    /// @param body body of the request
+    http_exchange(SoupServerMessage *message, GHashTable *query,
+                  std::string body);
     ~http_exchange();
     http_exchange(http_exchange const &) = delete;
     http_exchange &operator=(http_exchange const &) = delete;
 
     std::string method() const;
     std::string path() const;
-    std::string body() const;
+    std::string const &body() const { return body_; }
 
     /// @return value of a request header, or an empty string
     std::string header(char const *name) const;
@@ -68,6 +70,7 @@
 
     SoupServerMessage *message_;
     GHashTable *query_;
+    std::string body_;
     std::function<void()> closed_handler_;
     gulong finished_handler_ = 0;
     bool deferred_ = false;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,9 +1,8 @@
 #include "http_server.hpp"
 
+#include "daemon_loop.hpp"
 #include "http_exchange.hpp"
-#include "result_code.hpp"
 #include "server_message.hpp"
-#include "socket_address.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -15,23 +14,16 @@
 namespace
 {
 
-/// Maximum size of all request bodies that are open at the same time; each is a
-/// statement of an operator or a message of a peer.
-constexpr std::size_t max_body_bytes = std::size_t{16} << 20;
+/// Time for which an idle connection is kept open between two requests.
+constexpr duration keep_alive_timeout = seconds(75);
 
-void serve_message(SoupServer * /*server*/, SoupServerMessage *message,
-                   char const * /*path*/, GHashTable *query, gpointer data)
-{
-    auto const &serve = *static_cast<http_server::handler *>(data);
-    serve(std::make_shared<http_exchange>(message, query));
-}
+} // namespace
 
-void delete_handler(gpointer data)
+struct http_server::path_handler
 {
-    delete static_cast<http_server::handler *>(data);
-}
-
-} // namespace
+    http_server &server;
+    handler serve;
+};
 
 struct http_server::callbacks
 {
@@ -42,39 +34,59 @@
 
     static void started(SoupServer *, SoupServerMessage *message, gpointer self)
     {
-        server_of(self).open_.emplace(message, 0);
+        // libsoup would keep each piece that was received separately.
+        soup_message_body_set_accumulate(
+            soup_server_message_get_request_body(message), FALSE);
+        g_signal_connect(message, "got-headers", G_CALLBACK(got_headers), self);
         g_signal_connect(message, "got-chunk", G_CALLBACK(got_chunk), self);
         g_signal_connect(message, "finished", G_CALLBACK(ended), self);
         g_signal_connect(message, "disconnected", G_CALLBACK(ended), self);
     }
 
+    static void got_headers(SoupServerMessage *message, gpointer self)
+    {
+        auto &server = server_of(self);
+        auto *connection = soup_server_message_get_remote_address(message);
+        auto &request = server.open_[message];
+        request.connection = connection;
+        request.begun_at = daemon_loop::clock_now();
+        server.acceptor_.begin_request(connection);
+        server.acceptor_.set_deadline(
+            connection, server.limits_.connections.request_timeout);
+    }
+
     static void got_chunk(SoupServerMessage *message, GBytes *chunk,
                           gpointer self)
     {
-        auto &server = server_of(self);
-        auto const bytes = g_bytes_get_size(chunk);
-        server.open_[message] += bytes;
-        server.body_bytes_ += bytes;
-        server.check_memory();
+        server_of(self).receive(message, chunk);
     }
 
     static void ended(SoupServerMessage *message, gpointer self)
     {
-        auto &server = server_of(self);
-        auto const found = server.open_.find(message);
-        if (found != server.open_.end())
-        {
-            server.body_bytes_ -= found->second;
-            server.open_.erase(found);
-        }
+        server_of(self).end(message);
+    }
+
+    static void serve(SoupServer *, SoupServerMessage *message, char const *,
+                      GHashTable *query, gpointer data)
+    {
+        auto const &target = *static_cast<path_handler *>(data);
+        target.serve(std::make_shared<http_exchange>(
+            message, query, target.server.take_body(message)));
+    }
+
+    static void destroy(gpointer data)
+    {
+        delete static_cast<path_handler *>(data);
     }
 };
 
-http_server::http_server()
-    : server_(soup_server_new("server-header", "agateledge-standin", nullptr))
+http_server::http_server(http_server_limits limits)
+    : server_(soup_server_new("server-header", "agateledge-standin", nullptr)),
+      limits_(limits), acceptor_(server_.get(), limits.connections)
 {
-    g_signal_connect(server_, "request-started", G_CALLBACK(callbacks::started),
-                     this);
+    acceptor_.make_room = [this] { return close_stalled(); };
+    g_signal_connect(server_.get(), "request-started",
+                     G_CALLBACK(callbacks::started), this);
 }
 
 http_server::~http_server()
@@ -82,67 +94,114 @@
     std::ranges::for_each(
         open_, [this](auto const &item)
         { g_signal_handlers_disconnect_by_data(item.first, this); });
-    g_signal_handlers_disconnect_by_data(server_, this);
-    soup_server_disconnect(server_);
-    g_object_unref(server_);
+    g_signal_handlers_disconnect_by_data(server_.get(), this);
+    soup_server_disconnect(server_.get());
 }
 
-void http_server::check_memory()
+void http_server::receive(SoupServerMessage *message, GBytes *chunk)
 {
-    if (body_bytes_ <= max_body_bytes)
+    auto &request = open_[message];
+    if (acceptor_.is_closing(request.connection))
     {
         return;
     }
-    auto const largest = std::ranges::max_element(
-        open_, std::less<>(), [](auto const &item) { return item.second; });
-    discard_request_body(largest->first);
-    body_bytes_ -= std::exchange(largest->second, 0);
-    if (auto *socket = soup_server_message_get_socket(largest->first))
+    gsize size = 0;
+    auto const *bytes =
+        static_cast<char const *>(g_bytes_get_data(chunk, &size));
+    request.body.append({bytes, size});
+    auto const capacity = request.body.capacity();
+    held_bytes_ += capacity - std::exchange(request.held_bytes, capacity);
+    check_memory();
+}
+
+std::string http_server::take_body(SoupServerMessage *message)
+{
+    auto &request = open_[message];
+    request.served = true;
+    if (!limits_.answers_at_once)
     {
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+        acceptor_.clear_deadline(request.connection);
     }
+    return request.body.take();
 }
 
-void http_server::add(char const *path, handler serve)
+void http_server::end(SoupServerMessage *message)
 {
-    soup_server_add_handler(server_, path, serve_message,
-                            new handler(std::move(serve)), delete_handler);
+    auto const found = open_.find(message);
+    if (found != open_.end())
+    {
+        auto *connection = found->second.connection;
+        held_bytes_ -= found->second.held_bytes;
+        open_.erase(found);
+        acceptor_.end_request(connection);
+        acceptor_.set_deadline(connection, keep_alive_timeout);
+    }
 }
 
-absl::Status http_server::listen(std::string const &address)
+void http_server::check_memory()
 {
-    auto const socket_address = parse_socket_address(address);
-    if (!socket_address)
+    if (held_bytes_ <= limits_.body_bytes)
     {
-        return make_status(result_code::settings_invalid,
-                           "\"" + address + "\" is not IP:port");
+        return;
     }
-    GError *error = nullptr;
-    soup_server_listen(server_, socket_address.get(),
-                       static_cast<SoupServerListenOptions>(0), &error);
-    if (error != nullptr)
+    auto &largest =
+        std::ranges::max_element(
+            open_, std::less<>(),
+            [](auto const &item)
+            { return item.second.served ? 0 : item.second.held_bytes; })
+            ->second;
+    if (!largest.served)
     {
-        auto status =
-            make_status(result_code::settings_invalid,
-                        "cannot listen on " + address + ": " + error->message);
-        g_error_free(error);
-        return status;
+        largest.body.clear();
+        held_bytes_ -= std::exchange(largest.held_bytes, 0);
+        acceptor_.shut_down(largest.connection, "body_memory");
     }
-    return absl::OkStatus();
 }
 
-std::string http_server::address() const
+/// Shuts down the connection with the oldest request whose body is not
+/// complete, or whose answer is not read.
+///
+/// @return false when there is none
+bool http_server::close_stalled()
 {
-    auto *uris = soup_server_get_uris(server_);
-    std::string address;
-    if (uris != nullptr)
+    auto const latest =
+        daemon_loop::clock_now() - limits_.connections.stalled_time;
+    open_request const *chosen = nullptr;
+    for (auto const &[message, request] : open_)
+    {
+        if ((!request.served || limits_.answers_at_once) &&
+            request.begun_at <= latest &&
+            !acceptor_.is_closing(request.connection) &&
+            (chosen == nullptr || request.begun_at < chosen->begun_at))
+        {
+            chosen = &request;
+        }
+    }
+    if (chosen == nullptr)
     {
-        auto *uri = static_cast<GUri *>(uris->data);
-        address = std::string(g_uri_get_host(uri)) + ":" +
-                  std::to_string(g_uri_get_port(uri));
+        return false;
     }
-    g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
-    return address;
+    acceptor_.shut_down(chosen->connection,
+                        chosen->served ? "answer_unread" : "body_stalled");
+    return true;
+}
+
+void http_server::add(char const *path, handler serve)
+{
+    soup_server_add_handler(server_.get(), path, callbacks::serve,
+                            new path_handler{*this, std::move(serve)},
+                            callbacks::destroy);
+}
+
+absl::Status http_server::listen(std::string const &address)
+{
+    host_ = address.substr(0, address.rfind(':'));
+    return acceptor_.start(address, {});
+}
+
+std::string http_server::address() const
+{
+    return host_ + ":" + std::to_string(acceptor_.port());
 }
 
 } // namespace agateledge
--- a/src/proxy_listener.cpp
+++ b/src/proxy_listener.cpp
@@ -39,6 +39,9 @@
     /// @return true once the complete answer was given to the connection
     bool answered() const { return answer_complete; }
 
+    /// @return bytes of the answer that are not yet written to the connection
+    std::int64_t unread_bytes() const { return buffered_bytes; }
+
     /// 0 until the request is submitted to the daemon.
     request_number request;
     std::int64_t body_bytes = 0;
@@ -89,6 +92,11 @@
     return acceptor().start(address, {});
 }
 
+bool proxy_listener::can_accept() const
+{
+    return server_->acceptor().can_accept();
+}
+
 connection_acceptor &proxy_listener::acceptor()
 {
     return server_->acceptor();
--- a/src/proxy_listener.hpp
+++ b/src/proxy_listener.hpp
@@ -47,6 +47,11 @@
     /// streamed one.
     void answer(proxy_answer const &answer);
 
+    connection_acceptor &acceptor();
+
+    /// @return true while a further connection would be accepted
+    bool can_accept() const;
+
     /// Asked for each new request, before it is decoded; a request that is not
     /// admitted is refused as not run. Empty to admit all.
     std::function<bool()> admits_request;
@@ -58,7 +63,6 @@
 private:
     class exchange;
 
-    connection_acceptor &acceptor();
     void check_headers(exchange &item);
     void count_body(exchange &item, std::int64_t bytes);
     void accept_request(exchange &item, std::string const &path);
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -25,8 +25,9 @@
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
-/// Descriptors reserved for other uses than requests, and descriptors per
-/// request: the caller's connection and the call to an instance.
+/// Descriptors reserved for other uses than requests, at most half of them, and
+/// descriptors per request: the caller's connection and the call to an
+/// instance.
 constexpr int reserved_descriptors = 200;
 constexpr int descriptors_per_request = 2;
 
@@ -34,17 +35,39 @@
 /// the body of each request after its headers.
 constexpr duration body_timeout = seconds(15);
 
+/// Memory of all request bodies at the listeners for readiness and metrics,
+/// whose requests have none.
+constexpr std::size_t internal_body_bytes = std::size_t{64} << 10;
+
 listener_limits limits_of(proxy_settings const &config)
 {
     listener_limits out;
+    auto const reserved =
+        std::min(reserved_descriptors, config.max_descriptors / 2);
     out.max_connections =
-        std::max(1, (config.max_descriptors - reserved_descriptors) /
-                        descriptors_per_request);
+        (config.max_descriptors - reserved) / descriptors_per_request;
     out.request_timeout = body_timeout;
+    out.head_timeout = config.head_timeout;
+    out.silent_time = config.silent_client_time;
+    out.stalled_time = config.stalled_client_time;
     out.memory = config.limits.memory;
     return out;
 }
 
+/// @return limits of the listeners for readiness and metrics
+http_server_limits internal_limits_of(proxy_settings const &config)
+{
+    http_server_limits out;
+    out.connections = limits_of(config);
+    out.connections.max_connections =
+        std::min(config.internal_connections, config.max_descriptors / 8);
+    out.connections.request_timeout = config.head_timeout;
+    out.connections.silent_time = duration::zero();
+    out.body_bytes = internal_body_bytes;
+    out.answers_at_once = true;
+    return out;
+}
+
 } // namespace
 
 proxy_process::proxy_process(proxy_settings config, std::string file,
@@ -60,7 +83,9 @@
       instance_http_(connection_reuse::single_call), gate_random_(seed),
       callers_(state_, loop_, codec_, limits_of(config_)),
       instances_(instance_http_, loop_, codec_), caches_(http_, loop_, codec_),
-      rows_(http_, loop_, codec_, config_.store_address)
+      rows_(http_, loop_, codec_, config_.store_address),
+      readiness_(internal_limits_of(config_)),
+      metrics_(internal_limits_of(config_))
 {
     state_.proxy.enabled = true;
     state_.proxy.limits = config_.limits;
@@ -82,7 +107,7 @@
     auto const &instances =
         proxy.table_polls.at(static_cast<std::size_t>(polled_table::instances));
     return proxy.routing->version != 0 && instances.fully_read &&
-           !proxy.stopping_since;
+           !proxy.stopping_since && callers_.can_accept();
 }
 
 void proxy_process::install_handlers()
@@ -118,6 +143,9 @@
     };
     callers_.admits_request = [this] { return admits_request(); };
     handlers.stop = [this] { stop_allowed_ = true; };
+    watch_limits(callers_.acceptor());
+    watch_limits(readiness_.acceptor());
+    watch_limits(metrics_.acceptor());
     callers_.on_backpressure = [this](request_number request, bool paused)
     { instances_.set_paused(request, paused); };
     readiness_.add(
@@ -127,7 +155,9 @@
     metrics_.add(config_.metrics_path.c_str(),
                  [this](std::shared_ptr<http_exchange> const &request)
                  {
-                     request->reply(http_ok, proxy_metrics_text(state_),
+                     request->reply(http_ok,
+                                    proxy_metrics_text(state_) +
+                                        limited_clients_.metrics_text(),
                                     "text/plain; version=0.0.4");
                  });
 }
@@ -259,6 +289,18 @@
     return false;
 }
 
+void proxy_process::watch_limits(connection_acceptor &acceptor)
+{
+    acceptor.on_limited = [this](std::string const &client, char const *reason)
+    {
+        if (auto const entry = limited_clients_.record(
+                client, reason, daemon_loop::clock_now()))
+        {
+            write_log_line(config_.name, *entry);
+        }
+    };
+}
+
 void proxy_process::shut_down()
 {
     if (shutdown_.begun())
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -8,6 +8,7 @@
 #include "http_server.hpp"
 #include "ids.hpp"
 #include "instance_client.hpp"
+#include "limited_clients.hpp"
 #include "overload_gate.hpp"
 #include "proxy_codec.hpp"
 #include "proxy_listener.hpp"
@@ -71,6 +72,7 @@
     void send_part_evidence(part_evidence_send const &send);
     void handle_datagram(std::string_view bytes);
     bool admits_request();
+    void watch_limits(connection_acceptor &acceptor);
     void log(log_level level, std::string event,
              std::vector<std::pair<std::string, std::string>> fields);
 
@@ -91,6 +93,7 @@
     datagram_socket peers_;
     http_server readiness_;
     http_server metrics_;
+    limited_clients limited_clients_;
     shutdown_wait shutdown_;
     unsigned file_check_timer_ = 0;
     bool stop_allowed_ = false;
--- a/src/proxy_settings.cpp
+++ b/src/proxy_settings.cpp
@@ -56,6 +56,11 @@
     auto reader = root.subtable(*table, "limits");
     reader.read("max_descriptors", out.max_descriptors, 64,
                 max_descriptors_limit);
+    reader.read_milliseconds("head_timeout_ms", out.head_timeout);
+    reader.read_milliseconds("silent_client_ms", out.silent_client_time);
+    reader.read_milliseconds("stalled_client_ms", out.stalled_client_time);
+    reader.read("internal_connections", out.internal_connections, 2,
+                max_descriptors_limit);
     reader.read_megabytes("memory_mb", out.limits.memory.host_bytes);
     reader.read_seconds("shutdown_grace_s", out.limits.shutdown_grace);
     reader.read_milliseconds("drain_bound_ms", out.limits.drain_bound);
--- a/src/proxy_settings.hpp
+++ b/src/proxy_settings.hpp
@@ -2,6 +2,8 @@
 #define AGATELEDGE_PROXY_SETTINGS_HPP
 
 #include "proxy_limits.hpp"
+#include "settings.hpp"
+#include "time.hpp"
 
 #include "absl/status/statusor.h"
 
@@ -28,6 +30,13 @@
     std::string store_address;
     /// Maximum number of open file descriptors of the process.
     int max_descriptors = 4096;
+    /// Limits on clients; see `listener_limits`.
+    duration head_timeout = listener_limits().head_timeout;
+    duration silent_client_time = listener_limits().silent_time;
+    duration stalled_client_time = listener_limits().stalled_time;
+    /// Maximum number of open connections at each of the listeners for
+    /// readiness and metrics; several times the pollers of a deployment.
+    int internal_connections = 32;
     proxy_limits limits;
 
     auto operator<=>(proxy_settings const &) const = default;
--- a/src/request_framing.hpp
+++ b/src/request_framing.hpp
@@ -35,6 +35,13 @@
     /// @param out receives the bytes that are passed on
     void end(std::string &out);
 
+    /// @return number of bytes kept of a head, chunk header or trailer that is
+    ///         not complete
+    std::size_t unfinished_bytes() const
+    {
+        return head_.size() + pending_.size();
+    }
+
     /// @return true when the bytes of the connection are not valid requests;
     ///         nothing is passed on any more
     bool malformed() const { return malformed_; }
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -50,6 +50,17 @@
     int max_connections = 4096;
     /// Time within which a caller must have sent its complete request.
     duration request_timeout = seconds(20);
+    /// Time within which a caller must have sent the rest of a head that it has
+    /// begun. The deployments allow it 3 s; a busy daemon reads late.
+    duration head_timeout = seconds(4);
+    /// Time for which a new connection is kept for its first request, also when
+    /// room is short; a client that connects in order to send needs one round
+    /// trip.
+    duration silent_time = seconds(1);
+    /// Time without a byte of a body, or without reading a byte of an answer,
+    /// after which a connection may be closed when room is short. Longer than
+    /// the retransmission time-out of a lost packet.
+    duration stalled_time = seconds(2);
     /// Answer bytes buffered for a slow caller before the daemon stops reading
     /// from the engine.
     std::int64_t max_buffered_bytes = 64 * 1024;
