--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -1,10 +1,10 @@
 #include "proxy_metrics_text.hpp"
 
-#include "capacity_state.hpp"
-#include "store_view_state.hpp"
 #include "account_metrics_text.hpp"
+#include "capacity_state.hpp"
 #include "duty_state.hpp"
 #include "hold_duty_leases.hpp"
+#include "store_view_state.hpp"
 #include "world.hpp"
 
 #include <sstream>
@@ -98,6 +98,8 @@
         out << prefix << "capacity_engines_needed{service=\"" << name << "\"} "
             << service.needed << "\n";
     }
+}
+
 /// Writes the metrics of a daemon that has duties.
 void write_duties(std::ostream &out, world const &w)
 {
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -8,6 +8,7 @@
 #include "http_server.hpp"
 #include "ids.hpp"
 #include "instance_client.hpp"
+#include "limited_clients.hpp"
 #include "overload_gate.hpp"
 #include "platform_client.hpp"
 #include "proxy_codec.hpp"
@@ -86,6 +87,7 @@
                                       http_reply const &reply);
     void keep_configuration(std::uint64_t version, std::string const &text);
     bool admits_request();
+    void watch_limits(connection_acceptor &acceptor);
     void log(log_level level, std::string event,
              std::vector<std::pair<std::string, std::string>> fields);
 
@@ -112,6 +114,7 @@
     std::string configuration_text_;
     http_server readiness_;
     http_server metrics_;
+    limited_clients limited_clients_;
     shutdown_wait shutdown_;
     unsigned file_check_timer_ = 0;
     bool stop_allowed_ = false;
