Learn the speeds of engines, and assign their roles by a lease

Change: observations of each engine's speed, added up over the daemons in their load reports; plan_engine_roles and assign_engine_roles under a duty of their own; calls of the engines' orders.

--- a/src/advance_proxied_requests.cpp
+++ b/src/advance_proxied_requests.cpp
@@ -268,9 +268,9 @@
         // Its wait says nothing about the wait of calls that it yields to.
         return;
     }
-    update_first_event_estimate(w, *instance, attempt.sent_at,
-                                attempt.predicted, attempt.unread_tokens,
-                                attempt.calls_before == 0);
+    update_first_event_estimate(
+        w, *instance, attempt.sent_at, attempt.predicted, attempt.unread_tokens,
+        attempt.backlog_tokens, attempt.calls_before == 0);
     w.proxy.metrics.late_by.add(
         std::max(w.now - attempt.sent_at - attempt.predicted, duration(0)));
 }
--- a/src/available_from.cpp
+++ b/src/available_from.cpp
@@ -16,6 +16,7 @@
         return instant::max();
     }
     return std::max({w.now, instance.health.ejected_until,
+                     instance.closed_until, instance.peer_closed_until,
                      w.proxy.paused_until(definition),
                      w.proxy.within_limit_from(definition, w.now)});
 }
--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -83,7 +83,7 @@
     auto const weight = instance.definition.role == engine_role::prefill
                             ? prefill_rank_weight
                             : 1.0;
-    return -std::log(uniform) / weight;
+    return -std::log(uniform) / (weight * instance.rank_speed);
 }
 
 bool is_eligible(world const &w, proxy_request_state const &request,
@@ -121,7 +121,7 @@
     return untried.empty() ? retried : untried;
 }
 
-void rank_candidates(proxy_request_state const &request,
+void rank_candidates(world const &w, proxy_request_state const &request,
                      std::vector<candidate> &candidates)
 {
     if (request.chain.empty())
@@ -129,14 +129,24 @@
         return;
     }
     auto const key = request.chain.back().hash;
-    std::vector<std::pair<double, candidate *>> scores;
+    // Prompts are prefilled by the engines in prefill role as long as there are
+    // any: a copy of a part at an engine in decode role is evicted by the KV
+    // caches that it receives.
+    bool const by_role = !polls_caches(w);
+    using score = std::pair<bool, double>;
+    std::vector<std::pair<score, candidate *>> scores;
     std::ranges::transform(
         candidates, std::back_inserter(scores),
-        [key](candidate &item)
-        { return std::pair(rank_score(key, *item.instance), &item); });
-    std::ranges::sort(scores, {}, &std::pair<double, candidate *>::first);
+        [key, by_role](candidate &item)
+        {
+            return std::pair(score(by_role && item.instance->definition.role !=
+                                                  engine_role::prefill,
+                                   rank_score(key, *item.instance)),
+                             &item);
+        });
+    std::ranges::sort(scores, {}, &std::pair<score, candidate *>::first);
     int order = 0;
-    for (auto const &[score, item] : scores)
+    for (auto const &[place, item] : scores)
     {
         item->order = order++;
         item->rank = std::min(item->order, max_rank);
@@ -179,6 +189,21 @@
         }
     }
     std::ranges::sort(candidates, {}, &candidate::order);
+    if (!request.retained_prefill)
+    {
+        int prefilling = 0;
+        int decoding = 0;
+        std::erase_if(candidates,
+                      [&](candidate const &item)
+                      {
+                          auto &count = item.instance->definition.role ==
+                                                engine_role::prefill
+                                            ? prefilling
+                                            : decoding;
+                          return ++count > max_ranked_candidates / 2;
+                      });
+        return;
+    }
     if (candidates.size() > static_cast<std::size_t>(max_ranked_candidates))
     {
         candidates.resize(max_ranked_candidates);
@@ -329,7 +354,7 @@
 ///         `find_prefix_source`, or else the top-ranked one, to which other
 ///         daemons may have sent them; empty for none
 std::string
-choose_prefix_source_address(proxy_request_state const &request,
+choose_prefix_source_address(world const &w, proxy_request_state const &request,
                              std::vector<candidate> const &candidates,
                              instance_state const &chosen)
 {
@@ -342,7 +367,24 @@
     {
         return source.instance->definition.address;
     }
-    auto const first = std::ranges::find(candidates, 0, &candidate::rank);
+    auto first = std::ranges::find(candidates, 0, &candidate::order);
+    if (first != candidates.end() && !polls_caches(w) &&
+        first->instance == &chosen &&
+        chosen.definition.role == engine_role::prefill)
+    {
+        // Its copy may have been evicted; the engine that decodes the requests
+        // with this part has another one.
+        auto best = candidates.end();
+        for (auto item = candidates.begin(); item != candidates.end(); ++item)
+        {
+            if (item->instance->definition.role != engine_role::prefill &&
+                (best == candidates.end() || item->order < best->order))
+            {
+                best = item;
+            }
+        }
+        first = best;
+    }
     bool const elsewhere =
         first != candidates.end() && first->instance != &chosen;
     return elsewhere ? first->instance->definition.address : std::string();
@@ -354,7 +396,7 @@
 choose_instance(world &w, proxy_request_state const &request)
 {
     auto candidates = eligible_candidates(w, request);
-    rank_candidates(request, candidates);
+    rank_candidates(w, request, candidates);
     limit_candidates(w, request, candidates);
     auto const source = polls_caches(w)
                             ? find_prefix_source(request, candidates, nullptr)
@@ -393,8 +435,8 @@
     }
     if (!request.retained_prefill)
     {
-        out.prefix_source_address =
-            choose_prefix_source_address(request, candidates, *best.instance);
+        out.prefix_source_address = choose_prefix_source_address(
+            w, request, candidates, *best.instance);
     }
     out.candidates = static_cast<int>(candidates.size());
     out.runner_up = candidates.size() > 1 ? candidates[1].cost : duration(0);
--- a/src/daemon_loop.cpp
+++ b/src/daemon_loop.cpp
@@ -133,6 +133,7 @@
     for_each_item(out.part_evidence_reports, handlers.send_part_evidence);
     for_each_item(out.row_transactions, handlers.write_rows);
     for_each_item(out.platform_calls, handlers.call_platform);
+    for_each_item(out.engine_role_orders, handlers.order_engine_role);
     for_each_item(out.store_view_reports, handlers.send_store_view);
     for_each_item(out.usage_snapshots, handlers.send_usage_snapshot);
     for_each_item(out.account_load_reports, handlers.send_account_load);
--- a/src/daemon_loop.hpp
+++ b/src/daemon_loop.hpp
@@ -40,6 +40,8 @@
         write_rows;
     std::function<void(std::shared_ptr<platform_call const> const &)>
         call_platform;
+    std::function<void(std::shared_ptr<engine_role_order const> const &)>
+        order_engine_role;
     std::function<void(peer_report<store_view_report> const &)> send_store_view;
     std::function<void(peer_report<usage_snapshot> const &)>
         send_usage_snapshot;
--- a/src/duty_authority.hpp
+++ b/src/duty_authority.hpp
@@ -17,6 +17,7 @@
 {
     report_usage,
     order_capacity,
+    assign_roles,
 };
 
 /// Right of this daemon to act for a duty.
--- a/src/duty_state.hpp
+++ b/src/duty_state.hpp
@@ -20,7 +20,7 @@
 struct usage_state;
 struct world;
 
-constexpr std::size_t duty_count = 2;
+constexpr std::size_t duty_count = 3;
 
 /// State of the duties that one daemon at a time performs for the deployment.
 struct duty_state
--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -1,5 +1,6 @@
 #include "exchange_loads.hpp"
 
+#include "engine_speed.hpp"
 #include "exchange_topology.hpp"
 #include "fleet_interval.hpp"
 #include "world.hpp"
@@ -32,6 +33,10 @@
 /// Age after which a report is ignored.
 constexpr duration report_lifetime = seconds(1);
 
+/// Weight of the speed observations below which an idle engine is omitted from
+/// the reports.
+constexpr double min_speed_weight = 0.05;
+
 /// Maximum number of sums over the received reports in a report interval. The
 /// cost of a sum grows with the fleet, as the interval does.
 constexpr int max_sums_per_interval = 3;
@@ -45,18 +50,29 @@
                           max_report_interval);
 }
 
+std::uint32_t closed_ms_of(world const &w, instance_state const &instance)
+{
+    auto const left = std::max(instance.closed_until - w.now, duration(0));
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(left).count());
+}
+
 std::vector<engine_load> local_loads(world const &w)
 {
     std::vector<engine_load> out;
     for (auto const &[id, instance] : w.proxy.instances.all())
     {
-        if (!instance.open_calls.empty())
+        auto const speed = instance.speed.at(w.now);
+        bool const closed = instance.closed_until > w.now;
+        if (!instance.open_calls.empty() || closed ||
+            speed.weight > min_speed_weight)
         {
             out.push_back(
                 {instance.load_key,
                  static_cast<std::uint32_t>(
                      std::max<std::int64_t>(instance.unread_tokens, 0)),
-                 static_cast<std::uint32_t>(instance.open_calls.size())});
+                 static_cast<std::uint32_t>(instance.open_calls.size()),
+                 speed.weight, speed.log_sum, closed_ms_of(w, instance)});
         }
     }
     return out;
@@ -70,6 +86,9 @@
         item.engine = load.engine;
         item.unread_tokens += load.unread_tokens;
         item.open_calls += load.open_calls;
+        item.speed_weight += load.speed_weight;
+        item.speed_log_sum += load.speed_log_sum;
+        item.closed_ms = std::max(item.closed_ms, load.closed_ms);
     }
 }
 
@@ -90,6 +109,10 @@
                 saturating_difference(item.unread_tokens, load.unread_tokens);
             item.open_calls =
                 saturating_difference(item.open_calls, load.open_calls);
+            auto const weight = item.speed_weight - load.speed_weight;
+            item.speed_log_sum =
+                weight > 0 ? item.speed_log_sum - load.speed_log_sum : 0;
+            item.speed_weight = std::max(weight, 0.0);
         }
     }
 }
@@ -191,6 +214,9 @@
     }
     load.changed = false;
     load.next_sum = w.now + report_interval(w) / max_sums_per_interval;
+    load.summed_at = w.now;
+    load.report_delay =
+        is_mesh(w) ? report_interval(w) / 2 : report_interval(w) * 3 / 2;
     auto const others = remote_loads(w);
     for (auto &[id, instance] : w.proxy.instances.all())
     {
@@ -198,6 +224,17 @@
         bool const known = found != others.end();
         instance.peer_unread_tokens = known ? found->second.unread_tokens : 0;
         instance.peer_open_calls = known ? found->second.open_calls : 0;
+        if (known && found->second.speed_weight > 0)
+        {
+            instance.peer_speed = {found->second.speed_weight,
+                                   found->second.speed_log_sum, w.now};
+        }
+        if (known && found->second.closed_ms > 0)
+        {
+            instance.peer_closed_until =
+                w.now + milliseconds(found->second.closed_ms);
+        }
+        update_rank_speed(instance, w.now);
     }
 }
 
--- a/src/hold_duty_leases.cpp
+++ b/src/hold_duty_leases.cpp
@@ -72,8 +72,17 @@
 bool is_assigned(world const &w, duty item)
 {
     auto const &settings = w.proxy.limits.duties;
-    return item == duty::report_usage ? settings.reports_usage
-                                      : settings.orders_capacity;
+    switch (item)
+    {
+    case duty::report_usage:
+        return settings.reports_usage;
+    case duty::order_capacity:
+        return settings.orders_capacity;
+    case duty::assign_roles:
+        break;
+    }
+    // With few daemons a change of roles gains little for its lease.
+    return settings.assigns_roles && !is_mesh(w);
 }
 
 void log_lease(world &w, duty_lease const &lease, std::string event)
@@ -622,8 +631,10 @@
 bool has_duties(world const &w)
 {
     auto const &settings = w.proxy.limits.duties;
-    return !settings.platform_address.empty() &&
-           (settings.reports_usage || settings.orders_capacity);
+    bool const calls_platform =
+        !settings.platform_address.empty() &&
+        (settings.reports_usage || settings.orders_capacity);
+    return calls_platform || settings.assigns_roles;
 }
 
 duty_state &duties_of(world &w)
@@ -633,13 +644,23 @@
     {
         duties = std::make_shared<duty_state>();
         duties->lease(duty::order_capacity).item = duty::order_capacity;
+        duties->lease(duty::assign_roles).item = duty::assign_roles;
     }
     return *duties;
 }
 
 std::string_view name_of(duty item)
 {
-    return item == duty::report_usage ? "usage" : "capacity";
+    switch (item)
+    {
+    case duty::report_usage:
+        return "usage";
+    case duty::order_capacity:
+        return "capacity";
+    case duty::assign_roles:
+        break;
+    }
+    return "roles";
 }
 
 std::vector<std::string> duty_ranking(world const &w, duty item)
--- a/src/inbox.hpp
+++ b/src/inbox.hpp
@@ -23,6 +23,7 @@
 {
 
 struct account_load_report;
+struct engine_role_reply;
 struct platform_reply;
 struct row_transaction_reply;
 struct store_view_report;
@@ -246,6 +247,7 @@
     std::vector<std::shared_ptr<row_transaction_reply const>>
         row_transaction_replies;
     std::vector<std::shared_ptr<platform_reply const>> platform_replies;
+    std::vector<std::shared_ptr<engine_role_reply const>> engine_role_replies;
     std::vector<std::shared_ptr<store_view_report const>> store_view_reports;
     std::vector<std::shared_ptr<usage_snapshot const>> usage_snapshots;
     std::vector<std::shared_ptr<account_load_report const>>
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -1,6 +1,7 @@
 #ifndef AGATELEDGE_INSTANCE_TABLE_HPP
 #define AGATELEDGE_INSTANCE_TABLE_HPP
 
+#include "engine_speed.hpp"
 #include "ids.hpp"
 #include "instance_definition.hpp"
 #include "prompt_cache_view.hpp"
@@ -87,6 +88,16 @@
     /// Unread tokens and open calls of other daemons, from their last reports.
     std::int64_t peer_unread_tokens = 0;
     std::size_t peer_open_calls = 0;
+    /// Observations of its speed by this daemon, and those of other daemons
+    /// from their last reports.
+    speed_samples speed;
+    speed_samples peer_speed;
+    /// Speed by which it is ranked for prompt parts; see `update_rank_speed`.
+    double rank_speed = 1;
+    /// The engine takes no work before this time, because its role is about to
+    /// change; set by the daemon that orders the change, and by its reports.
+    instant closed_until{};
+    instant peer_closed_until{};
     /// Smoothed time by which replies exceeded their predictions.
     duration delay{};
     instant delay_seen_at{};
--- a/src/load_exchange_state.hpp
+++ b/src/load_exchange_state.hpp
@@ -32,6 +32,10 @@
     /// Reports have arrived or expired since the loads were last summed.
     bool changed = false;
     instant next_sum{};
+    /// Time at which the loads of the others were last summed, and the mean age
+    /// that they had then.
+    instant summed_at{};
+    duration report_delay{};
 };
 
 } // namespace agateledge
--- a/src/outbox.hpp
+++ b/src/outbox.hpp
@@ -15,6 +15,7 @@
 {
 
 struct account_load_report;
+struct engine_role_order;
 struct platform_call;
 struct row_transaction;
 struct store_view_report;
@@ -184,6 +185,7 @@
     std::vector<part_evidence_send> part_evidence_reports;
     std::vector<std::shared_ptr<row_transaction const>> row_transactions;
     std::vector<std::shared_ptr<platform_call const>> platform_calls;
+    std::vector<std::shared_ptr<engine_role_order const>> engine_role_orders;
     std::vector<peer_report<store_view_report>> store_view_reports;
     std::vector<peer_report<usage_snapshot>> usage_snapshots;
     std::vector<peer_report<account_load_report>> account_load_reports;
--- a/src/peer_load_report.hpp
+++ b/src/peer_load_report.hpp
@@ -19,6 +19,12 @@
     std::uint32_t unread_tokens = 0;
     /// Number of these calls.
     std::uint32_t open_calls = 0;
+    /// Sums of speed observations; see `speed_samples`.
+    double speed_weight = 0;
+    double speed_log_sum = 0;
+    /// Time for which the engine takes no work, because its role is about to
+    /// change.
+    std::uint32_t closed_ms = 0;
 
     auto operator<=>(engine_load const &) const = default;
 };
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -131,6 +131,7 @@
                         .sent_at = w.now,
                         .predicted = choice.prediction.time,
                         .unread_tokens = choice.prediction.unread_tokens,
+                        .backlog_tokens = choice.prediction.backlog_tokens,
                         .calls_before = instance.open_calls.size(),
                         .background = background,
                         .incarnation = incarnation_of(instance.definition)});
--- a/src/predict_event_gap.cpp
+++ b/src/predict_event_gap.cpp
@@ -1,5 +1,6 @@
 #include "predict_event_gap.hpp"
 
+#include "engine_speed.hpp"
 #include "exponential_decay.hpp"
 #include "predict_first_event.hpp"
 #include "world.hpp"
@@ -22,6 +23,9 @@
 constexpr double shorter_weight = 0.1;
 constexpr double longer_weight = 0.02;
 
+/// Weight of the observation of an engine's speed from one event gap.
+constexpr double event_weight = 0.3;
+
 /// Weight of a new pause sample.
 constexpr double pause_weight = 0.2;
 /// Half-life of the pause while there are no new samples; the mix of prompts
@@ -54,10 +58,10 @@
 duration predict_event_gap(world const &w, instance_state const &instance,
                            int unread_tokens, duration min_gap)
 {
-    auto const event_time =
-        undisturbed_event_time(w, instance.definition.service);
-    auto const tokens = static_cast<double>(
-        instance.unread_tokens + instance.peer_unread_tokens + unread_tokens);
+    auto const event_time = from_seconds(
+        to_seconds(undisturbed_event_time(w, instance.definition.service)) /
+        engine_speed(instance, w.now));
+    auto const tokens = unread_backlog(w, instance) + unread_tokens;
     return std::max(event_time, min_gap) +
            from_seconds(tokens / prefill_tokens_per_ms(w, instance) / 1e3);
 }
@@ -109,6 +113,8 @@
         auto const &service = instance.definition.service;
         auto const estimate = to_seconds(undisturbed_event_time(w, service));
         auto const sample = to_seconds(pause);
+        instance.speed.add(estimate / std::max(sample, 1e-3), event_weight,
+                           w.now);
         auto const weight = sample < estimate ? shorter_weight : longer_weight;
         w.proxy.event_times[service] =
             from_seconds(estimate + weight * (sample - estimate));
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -1,5 +1,8 @@
 #include "predict_first_event.hpp"
 
+#include "assign_engine_roles.hpp"
+#include "engine_speed.hpp"
+#include "exchange_topology.hpp"
 #include "exponential_decay.hpp"
 #include "world.hpp"
 
@@ -24,6 +27,11 @@
 /// Minimum tokens of a speed sample: fixed costs dominate shorter prompts.
 constexpr int min_sample_tokens = 1500;
 
+/// Minimum tokens of an observation of an engine's speed, and tokens of one
+/// with full weight.
+constexpr int min_speed_tokens = 800;
+constexpr double full_weight_tokens = 2000;
+
 /// Time to the first event that does not depend on the prompt: connection,
 /// request set-up, and one batch step.
 constexpr duration engine_base_time = milliseconds(20);
@@ -88,7 +96,12 @@
     return copy_base_time + from_seconds(transfer_ms / 1e3);
 }
 
-double prefill_tokens_per_ms(world const &w, instance_state const &instance)
+namespace
+{
+
+/// @return prompt tokens that an idle engine of this service and role prefills
+///         in a millisecond
+double estimated_tokens_per_ms(world const &w, instance_state const &instance)
 {
     auto const &definition = instance.definition;
     auto const found =
@@ -102,6 +115,34 @@
                : initial_prefill_tokens_per_ms;
 }
 
+/// @return age of the load that the other daemons reported
+duration load_age(world const &w)
+{
+    auto const &load = w.proxy.load;
+    return std::max(w.now - load.summed_at, duration(0)) + load.report_delay;
+}
+
+} // namespace
+
+double prefill_tokens_per_ms(world const &w, instance_state const &instance)
+{
+    auto const estimate = estimated_tokens_per_ms(w, instance);
+    return estimate * engine_speed(instance, w.now);
+}
+
+double unread_backlog(world const &w, instance_state const &instance)
+{
+    auto const own = static_cast<double>(instance.unread_tokens);
+    auto const reported = static_cast<double>(instance.peer_unread_tokens);
+    if (is_mesh(w))
+    {
+        return own + reported;
+    }
+    auto const done =
+        to_seconds(load_age(w)) * 1e3 * prefill_tokens_per_ms(w, instance);
+    return own + std::max(reported - done, 0.0);
+}
+
 first_event_prediction predict_first_event(world const &w,
                                            proxy_request_state const &request,
                                            instance_state const &instance,
@@ -122,18 +163,38 @@
     out.copied_tokens = std::max(copyable_tokens - out.cached_tokens, 0);
     out.unread_tokens =
         std::max(tokens - out.cached_tokens - out.copied_tokens, 1);
-    out.wait += prefill_time(w, instance,
-                             static_cast<double>(instance.unread_tokens +
-                                                 instance.peer_unread_tokens));
+    auto const backlog = unread_backlog(w, instance);
+    out.backlog_tokens = static_cast<int>(backlog);
+    out.wait += prefill_time(w, instance, backlog);
     out.time = out.wait + engine_base_time +
                prefix_copy_time(w, request.service, out.copied_tokens) +
                prefill_time(w, instance, out.unread_tokens);
     return out;
 }
 
+namespace
+{
+
+/// Observes the speed of an engine from the time of a first event.
+void record_speed(world &w, instance_state &instance, duration elapsed,
+                  int tokens)
+{
+    if (tokens < min_speed_tokens)
+    {
+        return;
+    }
+    auto const ms = std::max(to_seconds(elapsed - engine_base_time) * 1e3, 1.0);
+    auto const weight = std::min(tokens / full_weight_tokens, 1.0);
+    instance.speed.add(tokens / ms / estimated_tokens_per_ms(w, instance),
+                       weight, w.now);
+}
+
+} // namespace
+
 void update_first_event_estimate(world &w, instance_state &instance,
                                  instant sent_at, duration predicted,
-                                 int unread_tokens, bool alone)
+                                 int unread_tokens, int backlog_tokens,
+                                 bool alone)
 {
     auto const elapsed = w.now - sent_at;
     auto const before = current_delay(w, instance);
@@ -141,6 +202,13 @@
     instance.delay = from_seconds((1 - delay_weight) * to_seconds(before) +
                                   delay_weight * to_seconds(sample));
     instance.delay_seen_at = w.now;
+    record_speed(w, instance, elapsed, unread_tokens + backlog_tokens);
+    if (instance.definition.role == engine_role::prefill)
+    {
+        record_prefill_delay(w, instance.definition.service,
+                             elapsed - engine_base_time -
+                                 prefill_time(w, instance, unread_tokens));
+    }
     if (!alone || unread_tokens < min_sample_tokens)
     {
         return;
@@ -150,7 +218,7 @@
     auto const speed = std::clamp(unread_tokens / prefill_ms, min_tokens_per_ms,
                                   max_tokens_per_ms);
     auto const &definition = instance.definition;
-    auto const estimate = prefill_tokens_per_ms(w, instance);
+    auto const estimate = estimated_tokens_per_ms(w, instance);
     auto const weight = speed > estimate ? faster_weight : slower_weight;
     w.proxy.prefill_speeds[{definition.service, definition.role}] =
         estimate + weight * (speed - estimate);
--- a/src/predict_first_event.hpp
+++ b/src/predict_first_event.hpp
@@ -22,6 +22,8 @@
     duration wait{};
     /// Prompt tokens that the engine has to prefill.
     int unread_tokens = 0;
+    /// Prompt tokens that it has to prefill before.
+    int backlog_tokens = 0;
     /// Prompt tokens that are expected to be in its prefix cache.
     int cached_tokens = 0;
     /// Prompt tokens that it copies from another engine's cache.
@@ -50,15 +52,19 @@
 ///        then the prefill speed is updated
 void update_first_event_estimate(world &w, instance_state &instance,
                                  instant sent_at, duration predicted,
-                                 int unread_tokens, bool alone);
+                                 int unread_tokens, int backlog_tokens,
+                                 bool alone);
 
 /// @return time to copy cached tokens from another engine of the service; 0
 ///         for none
 duration prefix_copy_time(world const &w, std::string const &service,
                           int tokens);
 
-/// @return prompt tokens that an idle engine of this service and role prefills
-///         in a millisecond
+/// @return prompt tokens that the engine has yet to prefill, without those that
+///         it has prefilled since the other daemons reported them
+double unread_backlog(world const &w, instance_state const &instance);
+
+/// @return prompt tokens that the engine prefills in a millisecond when idle
 double prefill_tokens_per_ms(world const &w, instance_state const &instance);
 
 } // namespace agateledge
--- a/src/proxy_codec.hpp
+++ b/src/proxy_codec.hpp
@@ -15,6 +15,7 @@
 namespace agateledge
 {
 
+struct engine_role_order;
 struct platform_call;
 struct platform_reply;
 struct row_transaction;
@@ -86,6 +87,9 @@
     /// when there is none.
     std::function<std::uint64_t(header_list const &)> decode_store_era;
 
+    /// Encodes an order that changes the role of an engine.
+    std::function<http_request(engine_role_order const &)> encode_role_order;
+
     /// Encodes a transaction on the system's own rows.
     std::function<http_request(row_transaction const &)> encode_row_transaction;
 
--- a/src/proxy_limits.hpp
+++ b/src/proxy_limits.hpp
@@ -21,6 +21,8 @@
     bool reports_usage = false;
     /// Instances are ordered as the load requires.
     bool orders_capacity = false;
+    /// Roles of model engines are changed as the load requires.
+    bool assigns_roles = false;
     /// Calls a second that the platform takes from all daemons together.
     double calls_per_second = 50;
     /// Time in which the platform must not see holders alternate.
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -117,8 +117,9 @@
       callers_(state_, loop_, codec_, limits_of(config_)),
       instances_(instance_http_, loop_, codec_), caches_(http_, loop_, codec_),
       rows_(http_, loop_, codec_, config_.store_address),
-      platform_(http_, loop_, codec_, config_.limits.duties.platform_address)
-          readiness_(internal_limits_of(config_)),
+      platform_(http_, loop_, codec_, config_.limits.duties.platform_address),
+      role_orders_(instance_http_, loop_, codec_),
+      readiness_(internal_limits_of(config_)),
       metrics_(internal_limits_of(config_))
 {
     state_.proxy.enabled = true;
@@ -150,8 +151,8 @@
     auto const &instances =
         proxy.table_polls.at(static_cast<std::size_t>(polled_table::instances));
     return proxy.routing->version != 0 && instances.fully_read &&
-           has_checked_neighbours(state_) && !proxy.stopping_since;
-    !proxy.stopping_since &&callers_.can_accept();
+           has_checked_neighbours(state_) && !proxy.stopping_since &&
+           callers_.can_accept();
 }
 
 void proxy_process::install_handlers()
@@ -187,6 +188,9 @@
     handlers.call_platform =
         [this](std::shared_ptr<platform_call const> const &call)
     { platform_.call(call); };
+    handlers.order_engine_role =
+        [this](std::shared_ptr<engine_role_order const> const &order)
+    { role_orders_.send(order); };
     handlers.send_peer_load = [this](peer_load_send const &send)
     { send_peer_load(send); };
     handlers.send_part_evidence = [this](part_evidence_send const &send)
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -14,6 +14,7 @@
 #include "proxy_codec.hpp"
 #include "proxy_listener.hpp"
 #include "proxy_settings.hpp"
+#include "role_order_client.hpp"
 #include "row_client.hpp"
 #include "shutdown_wait.hpp"
 #include "world.hpp"
@@ -106,6 +107,7 @@
     cache_reader caches_;
     row_client rows_;
     platform_client platform_;
+    role_order_client role_orders_;
     datagram_socket peers_;
     http_server neighbours_;
     /// Newest configuration, as the store sent it, for neighbours that the
--- a/src/proxy_settings.cpp
+++ b/src/proxy_settings.cpp
@@ -109,6 +109,20 @@
     reader.report_unknown_keys();
 }
 
+void read_engine_roles(settings_reader &root, proxy_settings &out)
+{
+    auto const *table = root.table("engine_roles");
+    if (table == nullptr)
+    {
+        return;
+    }
+    auto reader = root.subtable(*table, "engine_roles");
+    auto &duties = out.limits.duties;
+    reader.read("assign", duties.assigns_roles);
+    reader.read_milliseconds("lease_ms", duties.lease_time);
+    reader.report_unknown_keys();
+}
+
 void read_settings(settings_reader &root, proxy_settings &out)
 {
     root.read("name", out.name, true);
@@ -120,6 +134,7 @@
     read_limits(root, out);
     read_retries(root, out);
     read_duties(root, out);
+    read_engine_roles(root, out);
     root.report_unknown_keys();
 }
 
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -33,6 +33,7 @@
 struct account_state;
 struct capacity_state;
 struct duty_state;
+struct engine_role_state;
 struct store_view_state;
 
 /// Progress of reading one polled table of the store.
@@ -136,6 +137,7 @@
     std::shared_ptr<account_state> accounts;
     std::shared_ptr<duty_state> duties;
     std::shared_ptr<capacity_state> capacity;
+    std::shared_ptr<engine_role_state> roles;
     std::shared_ptr<store_view_state> store_view;
     proxy_metrics metrics;
     std::optional<instant> stopping_since;
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -110,6 +110,8 @@
     duration predicted{};
     /// Prompt tokens that the engine was expected to prefill.
     int unread_tokens = 0;
+    /// Prompt tokens that the engine was expected to prefill before.
+    int backlog_tokens = 0;
     /// Number of this daemon's calls open at the instance when this one was
     /// sent.
     std::size_t calls_before = 0;
--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -514,8 +514,8 @@
     auto &view = *w.proxy.store_view;
     view.step_base = poll_state_of(w, polled_table::instances).version;
     bool const has_news = std::exchange(view.has_news, false);
-    bool const shares = w.proxy.store.era != 0 && !is_mesh(w) &&
-                        poll_state_of(w, polled_table::instances).fully_read;
+    bool const shares =
+        !is_mesh(w) && poll_state_of(w, polled_table::instances).fully_read;
     if (shares && (view.is_reader ? has_news : found_configuration(w)))
     {
         send_report(w);
--- a/src/tick_proxy.cpp
+++ b/src/tick_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "admit_proxied_requests.hpp"
 #include "advance_proxied_requests.hpp"
+#include "assign_engine_roles.hpp"
 #include "count_usage.hpp"
 #include "eject_instances.hpp"
 #include "exchange_account_loads.hpp"
@@ -39,6 +40,7 @@
     exchange_usage(w);
     report_usage(w);
     order_capacity(w, authority_over(w, duty::order_capacity));
+    assign_engine_roles(w, authority_over(w, duty::assign_roles));
     record_leaving_instances(w);
     record_instance_pauses(w);
     record_request_limits(w);
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -160,7 +160,14 @@
     auto const definition = without_reverted_drain(w, *row.instance);
     bool const changed = known == nullptr || known->expires_at ||
                          known->definition != definition;
-    auto const &state = w.proxy.instances.put(definition, row.row_version);
+    bool const role_changed =
+        known != nullptr && known->definition.role != definition.role;
+    auto &state = w.proxy.instances.put(definition, row.row_version);
+    if (role_changed)
+    {
+        state.closed_until = instant{};
+        state.peer_closed_until = instant{};
+    }
     if (changed)
     {
         record_instance_change(w, row.id, row.row_version, definition);
