Compare planned orders one by one in tests

Cause: a failed comparison of all orders does not name the one at fault. Change: one expectation for each order.

--- a/test/correctness/plan_capacity_test.cpp
+++ b/test/correctness/plan_capacity_test.cpp
@@ -159,12 +159,11 @@
 {
     auto view = customer_a();
     view.load = load_for(50);
-    auto const first = step(view);
-    EXPECT_TRUE(std::all_of(first.begin(), first.end(),
-                            [](planned_order const &item) {
-                                return item.order.reclaimable &&
-                                       item.order.instances > item.before;
-                            }));
+    for (auto const &item : step(view))
+    {
+        EXPECT_TRUE(item.order.reclaimable);
+        EXPECT_GT(item.order.instances, item.before);
+    }
     EXPECT_GT(serving_total(view), 90);
     for (int i = 0; i < 60; ++i)
     {
@@ -265,11 +264,10 @@
         group_of(view, lost, true).serving = {};
         // The mean load, without a burst.
         EXPECT_GE(serving_total(view), 60 / 1.9) << lost;
-        auto const orders = plan_capacity(view).orders;
-        EXPECT_TRUE(std::all_of(orders.begin(), orders.end(),
-                                [](planned_order const &item) {
-                                    return item.order.instances > item.before;
-                                }));
+        for (auto const &item : plan_capacity(view).orders)
+        {
+            EXPECT_GT(item.order.instances, item.before);
+        }
     }
 }
 
