Compare two ranked engines for each prompt in large fleets

Cause: daemons that compare all engines by old reports choose the same few. Change: two engines of each role by rank, and those that hold most of the prompt.

--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -1,6 +1,7 @@
 #include "choose_instance.hpp"
 
 #include "available_from.hpp"
+#include "exchange_topology.hpp"
 #include "poll_caches.hpp"
 #include "predict_event_gap.hpp"
 #include "world.hpp"
@@ -52,10 +53,10 @@
 /// each part.
 constexpr int cached_copies_per_part = 2;
 
-/// Number of top-ranked engines compared for one prompt when engine caches are
-/// not tracked. It covers the copies of the most popular part at 320 engines
-/// and keeps the cost of a choice independent of the number of engines.
-constexpr int max_ranked_candidates = 16;
+/// Number of engines of a role that are compared for one prompt in a large
+/// fleet. In the table of docs/design/even-load.md, two give shorter waits than
+/// more, and than one, at each age of the load reports.
+constexpr std::size_t compared_engines = 2;
 
 /// Rendezvous weight of an engine in prefill role relative to one in decode
 /// role, which prefills at half the speed.
@@ -121,18 +122,19 @@
     return untried.empty() ? retried : untried;
 }
 
-void rank_candidates(world const &w, proxy_request_state const &request,
+void rank_candidates(world &w, proxy_request_state const &request,
                      std::vector<candidate> &candidates)
 {
-    if (request.chain.empty())
+    if (!request.content->prompt || (request.chain.empty() && is_mesh(w)))
     {
         return;
     }
-    auto const key = request.chain.back().hash;
+    auto const key =
+        request.chain.empty() ? w.random.next() : request.chain.back().hash;
     // Prompts are prefilled by the engines in prefill role as long as there are
     // any: a copy of a part at an engine in decode role is evicted by the KV
     // caches that it receives.
-    bool const by_role = !polls_caches(w);
+    bool const by_role = !is_mesh(w);
     using score = std::pair<bool, double>;
     std::vector<std::pair<score, candidate *>> scores;
     std::ranges::transform(
@@ -167,14 +169,23 @@
                              : reader->definition.data_centre;
 }
 
-/// Limits the candidates to the top-ranked engines, for a hand-over to those of
-/// the data centre that holds the KV cache. Without this limit the cost of each
-/// choice grows with the number of engines, which matters at hundreds of them.
+/// @return leading tokens of the prompt that the engine's cache is known to
+/// hold
+int known_tokens(proxy_request_state const &request, candidate const &item)
+{
+    return item.instance->cache.copyable_tokens(request.chain);
+}
+
+/// Limits the candidates for a prompt to a few engines that other prompts do
+/// not have in common: in each role the two that rank highest, and those that
+/// hold most of it. A daemon of a large fleet knows the load of the engines as
+/// it was some hundred milliseconds ago. If all daemons compared all engines,
+/// they would choose the same few at the same time, whose queues then grow
+/// until the next report, while others idle.
 void limit_candidates(world const &w, proxy_request_state const &request,
                       std::vector<candidate> &candidates)
 {
-    if (polls_caches(w) || request.chain.empty() ||
-        candidates.size() <= static_cast<std::size_t>(max_ranked_candidates))
+    if (is_mesh(w) || !request.content->prompt)
     {
         return;
     }
@@ -189,25 +200,31 @@
         }
     }
     std::ranges::sort(candidates, {}, &candidate::order);
-    if (!request.retained_prefill)
-    {
-        int prefilling = 0;
-        int decoding = 0;
-        std::erase_if(candidates,
-                      [&](candidate const &item)
+    std::vector<int> held;
+    std::ranges::transform(candidates, std::back_inserter(held),
+                           [&request](candidate const &item)
+                           { return known_tokens(request, item); });
+    std::ranges::sort(held, std::greater<>());
+    auto const least_held =
+        held.size() > compared_engines ? held[compared_engines - 1] : 0;
+    std::size_t prefilling = 0;
+    std::size_t decoding = 0;
+    std::size_t holding = 0;
+    std::erase_if(candidates,
+                  [&](candidate const &item)
+                  {
+                      auto &count =
+                          item.instance->definition.role == engine_role::prefill
+                              ? prefilling
+                              : decoding;
+                      if (++count <= compared_engines)
                       {
-                          auto &count = item.instance->definition.role ==
-                                                engine_role::prefill
-                                            ? prefilling
-                                            : decoding;
-                          return ++count > max_ranked_candidates / 2;
-                      });
-        return;
-    }
-    if (candidates.size() > static_cast<std::size_t>(max_ranked_candidates))
-    {
-        candidates.resize(max_ranked_candidates);
-    }
+                          return false;
+                      }
+                      auto const tokens = known_tokens(request, item);
+                      bool const holds = tokens > 0 && tokens >= least_held;
+                      return !holds || ++holding > compared_engines;
+                  });
 }
 
 /// @return predicted time until an engine continues a prompt that another one
@@ -368,7 +385,7 @@
         return source.instance->definition.address;
     }
     auto first = std::ranges::find(candidates, 0, &candidate::order);
-    if (first != candidates.end() && !polls_caches(w) &&
+    if (first != candidates.end() && !is_mesh(w) &&
         first->instance == &chosen &&
         chosen.definition.role == engine_role::prefill)
     {
