--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -130,7 +130,7 @@
         return;
     }
     auto const key =
-        request.chain.empty() ? w.random.next() : request.chain.back().hash;
+        request.chain.empty() ? w.random() : request.chain.back().hash;
     // Prompts are prefilled by the engines in prefill role as long as there are
     // any: a copy of a part at an engine in decode role is evicted by the KV
     // caches that it receives.
