--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -4,12 +4,10 @@
 #include "exchange_topology.hpp"
 #include "poll_caches.hpp"
 #include "predict_event_gap.hpp"
+#include "reported_load.hpp"
 #include "world.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <iterator>
 #include <tuple>
@@ -78,13 +76,10 @@
 
 double rank_score(std::uint64_t key, instance_state const &instance)
 {
-    auto const &id = instance.definition.id;
-    auto const bits = XXH3_64bits_withSeed(id.data(), id.size(), key);
-    auto const uniform = (static_cast<double>(bits >> 11) + 0.5) * 0x1p-53;
-    auto const weight = instance.definition.role == engine_role::prefill
-                            ? prefill_rank_weight
-                            : 1.0;
-    return -std::log(uniform) / (weight * instance.rank_speed);
+    auto const &definition = instance.definition;
+    auto const weight =
+        definition.role == engine_role::prefill ? prefill_rank_weight : 1.0;
+    return prompt_rank_score(key, definition.id, weight * instance.rank_speed);
 }
 
 bool is_eligible(world const &w, proxy_request_state const &request,
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -4,6 +4,7 @@
 #include "engine_speed.hpp"
 #include "exchange_topology.hpp"
 #include "exponential_decay.hpp"
+#include "reported_load.hpp"
 #include "world.hpp"
 
 #include <algorithm>
@@ -138,9 +139,8 @@
     {
         return own + reported;
     }
-    auto const done =
-        to_seconds(load_age(w)) * 1e3 * prefill_tokens_per_ms(w, instance);
-    return own + std::max(reported - done, 0.0);
+    return own + remaining_tokens(reported, load_age(w),
+                                  prefill_tokens_per_ms(w, instance));
 }
 
 first_event_prediction predict_first_event(world const &w,
