--- a/src/count_usage.cpp
+++ b/src/count_usage.cpp
@@ -48,6 +48,9 @@
 /// Time for which the announced time of the fleet is used.
 constexpr duration fleet_time_lifetime = minutes(2);
 
+/// Windows by which the clock of another daemon may be ahead.
+constexpr std::int64_t max_window_lead = 2;
+
 /// Windows whose hashes are kept; those of an outage of the platform's
 /// interface of more than a minute.
 constexpr std::size_t max_closed_hashes = 16;
@@ -151,11 +154,27 @@
     received.services = std::move(services);
 }
 
+/// @return false when a window is in the future: closing it would end the
+///         reports of all windows before
+bool is_plausible(world const &w, usage_snapshot const &report)
+{
+    auto const now = window_now(w);
+    auto const is_possible = [&now](auto const &item)
+    { return now && item.window <= *now + max_window_lead; };
+    return std::ranges::all_of(report.closed, is_possible) &&
+           std::ranges::all_of(report.starts, is_possible);
+}
+
 void accept_snapshots(world &w)
 {
     auto &usage = usage_of(w);
     for (auto const &report : w.in.usage_snapshots)
     {
+        if (!is_plausible(w, *report))
+        {
+            ++w.proxy.duties->snapshots["implausible"];
+            continue;
+        }
         if (w.proxy.daemons.contains(report->sender))
         {
             w.proxy.duties->add_closed(report->closed);
--- a/test/correctness/duty_lease_test.cpp
+++ b/test/correctness/duty_lease_test.cpp
@@ -107,6 +107,23 @@
     EXPECT_LE(model.transactions - before, 2U * 14 * 10 / 7 + 2);
 }
 
+// Guards against holders A, B, A within the lease time when leases are released
+// at once.
+TEST(duty_lease, holders_do_not_alternate_after_releases)
+{
+    duty_model model(2);
+    model.advance(seconds(8));
+    auto const first = model.holder(duty::report_usage).back() - '0';
+    model.run({lease_event::stop, first, 0});
+    model.restart(first);
+    model.advance(milliseconds(500));
+    model.run({lease_event::stop, 1 - first, 0});
+    model.advance(seconds(10));
+    EXPECT_EQ(model.violations, std::vector<std::string>());
+    EXPECT_EQ(model.holder(duty::report_usage),
+              "edge-" + std::to_string(first));
+}
+
 } // namespace
 
 } // namespace agateledge
