Test that holders do not alternate after releases

Cause: the model test passed without the wait for the lease time. Change: a test in which both daemons release the lease in turn; and the faults that brought a token back before the rows of the eras. Result: the first test fails without the wait and passes with it.

--- a/src/hold_duty_leases.cpp
+++ b/src/hold_duty_leases.cpp
@@ -662,7 +662,7 @@
     if (item == duty::order_capacity && out.size() > 1 &&
         out.front() == duty_ranking(w, duty::report_usage).front())
     {
-        std::ranges::rotate(out, out.begin() + 1);
+        std::rotate(out.begin(), out.begin() + 1, out.end());
     }
     return out;
 }
--- a/test/correctness/duty_lease_test.cpp
+++ b/test/correctness/duty_lease_test.cpp
@@ -116,7 +116,7 @@
     auto const first = model.holder(duty::report_usage).back() - '0';
     model.run({lease_event::stop, first, 0});
     model.restart(first);
-    model.advance(milliseconds(500));
+    model.advance(seconds(2));
     model.run({lease_event::stop, 1 - first, 0});
     model.advance(seconds(10));
     EXPECT_EQ(model.violations, std::vector<std::string>());
@@ -124,6 +124,22 @@
               "edge-" + std::to_string(first));
 }
 
+// A late write of an earlier era replaced the lease's row, and the next holder
+// sent the token that the former one had sent.
+TEST(duty_lease, late_writes_of_an_earlier_era_do_not_bring_a_token_back)
+{
+    duty_model model(3);
+    model.advance(seconds(8));
+    model.run({lease_event::late_writes, 1, 16});
+    model.run({lease_event::wait, 0, 25});
+    model.run({lease_event::lost_notices, 0, 38});
+    model.run({lease_event::crash, 2, 4});
+    model.run({lease_event::older_copy, 0, 5});
+    model.heal();
+    model.advance(seconds(20));
+    EXPECT_EQ(model.violations, std::vector<std::string>());
+}
+
 } // namespace
 
 } // namespace agateledge
--- a/test/correctness/duty_model.hpp
+++ b/test/correctness/duty_model.hpp
@@ -311,11 +311,15 @@
 
     void run_late_writes()
     {
-        auto const due = std::ranges::stable_partition(
-            late_, [this](late_write const &item) { return item.when > now_; });
-        std::ranges::for_each(due, [this](late_write const &item)
-                              { store_.apply(*item.item); });
-        late_.erase(due.begin(), due.end());
+        for (auto const &item : late_)
+        {
+            if (item.when <= now_)
+            {
+                store_.apply(*item.item);
+            }
+        }
+        std::erase_if(late_, [this](late_write const &item)
+                      { return item.when <= now_; });
     }
 
     void tick(member &item)
