Export learned speeds, spread of the backlog and changes of role

Cause: an operator could not see whether prompts gather at a few engines. Change: gauges of the engines' speeds, of the spread of what waits at them and of the delay of prefills, a counter of role orders, and two log events.

--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -3,6 +3,7 @@
 #include "account_metrics_text.hpp"
 #include "capacity_state.hpp"
 #include "duty_state.hpp"
+#include "engine_metrics_text.hpp"
 #include "hold_duty_leases.hpp"
 #include "store_view_state.hpp"
 #include "world.hpp"
@@ -199,6 +200,7 @@
         write_capacity(out, *proxy.capacity);
     }
     write_account_metrics(out, w, prefix);
+    write_engine_metrics(out, w, prefix);
     write_duties(out, w);
     write_latency(out, "queued_seconds", metrics.queued);
     write_latency(out, "first_event_seconds", metrics.first_event);
--- a/test/error/operations_page_test.cpp
+++ b/test/error/operations_page_test.cpp
@@ -42,7 +42,7 @@
           "place_proxied_requests.cpp", "proxy_lifecycle.cpp", "stop_proxy.cpp",
           "record_leaving_instances.cpp", "record_instance_pauses.cpp",
           "follow_store_era.cpp", "share_store_reads.cpp",
-          "authenticate_proxied_requests.cpp"})
+          "authenticate_proxied_requests.cpp", "assign_engine_roles.cpp"})
     {
         for (auto const &name : matches(text_of(root / "src" / file), event))
         {
