--- a/src/plan_capacity.cpp
+++ b/src/plan_capacity.cpp
@@ -579,6 +579,15 @@
         { return expected_engines(view, group) > group.serving.total(); });
 }
 
+/// @return true when the total may be lowered by `removed` engines: while
+///         requests fail, only engines go whose replacements serve
+bool may_lower_total(capacity_view const &view, int removed)
+{
+    bool const fails =
+        !view.load || view.load->failing_share > max_failing_share;
+    return !fails || serving_engines(view).total() - removed >= view.held_total;
+}
+
 /// @return number of engines that may be removed from the group now
 int removable_engines(capacity_view const &view,
                       std::vector<scenario> const &events, std::size_t index,
@@ -606,15 +615,6 @@
     return removed;
 }
 
-/// @return true when the total may be lowered by `removed` engines: while
-///         requests fail, only engines go whose replacements serve
-bool may_lower_total(capacity_view const &view, int removed)
-{
-    bool const fails =
-        !view.load || view.load->failing_share > max_failing_share;
-    return !fails || serving_engines(view).total() - removed >= view.held_total;
-}
-
 void add_removal(capacity_view const &view, std::vector<scenario> const &events,
                  group_numbers const &target, order_reason reason,
                  capacity_plan &plan)
