--- a/src/key_directory.cpp
+++ b/src/key_directory.cpp
@@ -42,8 +42,10 @@
     std::ranges::sort(entries_, {},
                       [](entry const &item)
                       { return std::tie(item.digest, item.owner); });
-    auto const repeated = std::ranges::unique(entries_, {}, &entry::digest);
-    entries_.erase(repeated.begin(), repeated.end());
+    entries_.erase(std::unique(entries_.begin(), entries_.end(),
+                               [](entry const &left, entry const &right)
+                               { return left.digest == right.digest; }),
+                   entries_.end());
     entries_.shrink_to_fit();
 }
 
@@ -55,17 +57,21 @@
         return std::nullopt;
     }
     auto const digest = sha256_digest(token);
-    auto const candidates = std::ranges::equal_range(
-        entries_, prefix_of(digest), {},
+    auto const prefix = prefix_of(digest);
+    auto const first = std::ranges::lower_bound(
+        entries_, prefix, {},
         [](entry const &item) { return prefix_of(item.digest); });
+    auto const last = std::find_if(first, entries_.end(),
+                                   [prefix](entry const &item) {
+                                       return prefix_of(item.digest) != prefix;
+                                   });
     auto const found =
-        std::ranges::find_if(candidates,
-                             [&digest](entry const &item) {
-                                 return equal_in_constant_time(
-                                     bytes_of(item.digest), bytes_of(digest));
-                             });
-    return found == candidates.end() ? std::nullopt
-                                     : std::optional(found->owner);
+        std::find_if(first, last,
+                     [&digest](entry const &item) {
+                         return equal_in_constant_time(bytes_of(item.digest),
+                                                       bytes_of(digest));
+                     });
+    return found == last ? std::nullopt : std::optional(found->owner);
 }
 
 std::string_view bearer_token(std::string_view authorization)
