Bound unread answers and derive the number of connections from memory

Cause: complete answers that wait for slow readers were in no sum, and 1,800 connections with 15 KB of body each took 108.8 MB with memory_mb 120 (trial). Change: answers at the proxy that wait for their readers take at most a quarter of the host's memory; connections of clients that have stalled are shut down first. Connections take at most a quarter, 32 KiB each: 960 with memory_mb 120, 1,948 as before with 256 and 4,096 descriptors.

--- a/src/exchange_server.hpp
+++ b/src/exchange_server.hpp
@@ -66,7 +66,8 @@
                                   TRUE, nullptr)),
           acceptor_(server_.get(), limits), stalled_time_(limits.stalled_time),
           max_receiving_bytes_(limits.memory.request_bytes()),
-          max_body_bytes_(2 * limits.memory.request_bytes())
+          max_body_bytes_(2 * limits.memory.request_bytes()),
+          max_answer_bytes_(limits.memory.answer_bytes())
     {
         g_signal_connect(server_.get(), "request-started", G_CALLBACK(started),
                          this);
@@ -109,6 +110,26 @@
                                          : found->second.body.take();
     }
 
+    /// Counts bytes of an answer that were given to a connection. When all
+    /// answers that wait for their readers exceed their limit, connections are
+    /// shut down: first those whose clients have stalled, then those with the
+    /// most bytes.
+    void count_answer(Exchange const &exchange, std::size_t bytes)
+    {
+        auto const found = exchanges_.find(exchange.message());
+        if (found != exchanges_.end() &&
+            exchange.unread_bytes() <= static_cast<std::int64_t>(bytes))
+        {
+            // Nothing waited before, so that the client has not stalled.
+            found->second.progress_at = daemon_loop::clock_now();
+        }
+        uncounted_answer_bytes_ += bytes;
+        if (counted_answer_bytes_ + uncounted_answer_bytes_ > max_answer_bytes_)
+        {
+            bound_answers();
+        }
+    }
+
     /// Counts bytes of a request body and enforces its limit. A body over the
     /// limit is read and discarded up to a multiple of it, so that the caller
     /// can read the error; beyond that the connection is shut down.
@@ -341,6 +362,36 @@
             });
     }
 
+    void bound_answers()
+    {
+        auto const stalled_since = daemon_loop::clock_now() - stalled_time_;
+        std::vector<held_exchange *> items;
+        std::vector<held_message> messages;
+        counted_answer_bytes_ = 0;
+        uncounted_answer_bytes_ = 0;
+        for (auto &[message, item] : exchanges_)
+        {
+            auto const bytes = item.exchange->unread_bytes();
+            if (bytes > 0 &&
+                !acceptor_.is_closing(connection_of(*item.exchange)))
+            {
+                counted_answer_bytes_ += static_cast<std::size_t>(bytes);
+                items.push_back(&item);
+                messages.push_back({remote_host(message),
+                                    static_cast<std::size_t>(bytes), true,
+                                    item.progress_at < stalled_since});
+            }
+        }
+        std::ranges::for_each(
+            choose_messages_to_drop(messages, max_answer_bytes_),
+            [&](std::size_t index)
+            {
+                counted_answer_bytes_ -= messages.at(index).bytes;
+                acceptor_.shut_down(connection_of(*items.at(index)->exchange),
+                                    "answer_memory");
+            });
+    }
+
     /// Shuts down the connection whose client has stalled for the longest time,
     /// in the middle of a body or of an answer that is ready.
     ///
@@ -415,6 +466,11 @@
     /// Memory of the bodies that are being received, and of all bodies.
     std::size_t receiving_bytes_ = 0;
     std::size_t body_bytes_ = 0;
+    std::size_t max_answer_bytes_;
+    /// Bytes of answers that waited at the last count, and bytes given to
+    /// connections since then.
+    std::size_t counted_answer_bytes_ = 0;
+    std::size_t uncounted_answer_bytes_ = 0;
     std::unordered_set<SoupServerMessage *> receiving_;
     std::unordered_map<SoupServerMessage *, held_exchange> exchanges_;
     std::unordered_map<connection_acceptor::connection_key, SoupServerMessage *>
--- a/src/proxy_listener.cpp
+++ b/src/proxy_listener.cpp
@@ -240,6 +240,8 @@
     }
     acceptor().set_deadline(server_->connection_of(item), reader_timeout);
     item.unpause();
+    item.buffered_bytes += static_cast<std::int64_t>(body.size());
+    server_->count_answer(item, body.size());
 }
 
 void proxy_listener::begin_stream(exchange &item, proxy_answer const &answer)
@@ -268,6 +270,7 @@
     soup_server_message_unpause(item.message());
     item.paused = false;
     update_backpressure(item);
+    server_->count_answer(item, bytes.size());
 }
 
 void proxy_listener::answer(proxy_answer const &answer)
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -29,7 +29,13 @@
 /// descriptors per request: the caller's connection and the call to an
 /// instance.
 constexpr int reserved_descriptors = 200;
-constexpr int descriptors_per_request = 2;
+constexpr std::size_t descriptors_per_request = 2;
+
+/// Memory of a connection whose client sends a body, without the body: measured
+/// with 1,800 of them at once. All connections may take a quarter of the host's
+/// memory.
+constexpr std::size_t connection_bytes = std::size_t{32} << 10;
+constexpr std::size_t connection_memory_share = 4;
 
 /// Time within which a caller must send the headers of its first request, and
 /// the body of each request after its headers.
@@ -44,8 +50,11 @@
     listener_limits out;
     auto const reserved =
         std::min(reserved_descriptors, config.max_descriptors / 2);
-    out.max_connections =
-        (config.max_descriptors - reserved) / descriptors_per_request;
+    auto const fitting = config.limits.memory.host_bytes /
+                         connection_memory_share / connection_bytes;
+    out.max_connections = static_cast<int>(std::min<std::size_t>(
+        fitting, static_cast<std::size_t>(config.max_descriptors - reserved) /
+                     descriptors_per_request));
     out.request_timeout = body_timeout;
     out.head_timeout = config.head_timeout;
     out.silent_time = config.silent_client_time;
