Plan the replacement of engines from the total that was configured

Cause: the number to replace counted engines that had been ordered already, and grew with each order: 30, 33, 36, 38 in one data centre. Change: it is the configured total, divided among the data centres.

--- a/src/plan_capacity.cpp
+++ b/src/plan_capacity.cpp
@@ -724,7 +724,7 @@
     for (auto const &pair : pairs)
     {
         auto const &ordinary = view.groups[pair.ordinary];
-        auto const all = ordinary.held + view.groups[pair.reclaimable].held;
+        auto const all = view.held_total / data_centres;
         auto const kept = static_cast<int>(std::ceil(ordinary_share * all));
         target[pair.ordinary] = std::min(expected[pair.ordinary], kept);
         target[pair.reclaimable] =
