Count engines in a change of role for their new role

Cause: the directory shows a new role some seconds after the order. Change: an engine that is closed for a change counts for the new role.

--- a/src/assign_engine_roles.cpp
+++ b/src/assign_engine_roles.cpp
@@ -58,6 +58,12 @@
     return *state;
 }
 
+engine_role other_role(engine_role role)
+{
+    return role == engine_role::prefill ? engine_role::decode
+                                        : engine_role::prefill;
+}
+
 role_view view_of(world const &w, engine_role_state const &state,
                   std::string const &service)
 {
@@ -79,7 +85,13 @@
         auto const settled = state.settled_from.find(definition.id);
         bool const is_settled =
             settled == state.settled_from.end() || settled->second <= w.now;
-        out.engines.push_back({definition.id, definition.role,
+        // The directory shows the new role some seconds after the order. Until
+        // then the engine counts for it, or too many would change.
+        bool const changes =
+            std::max(engine->closed_until, engine->peer_closed_until) > w.now;
+        auto const role =
+            changes ? other_role(definition.role) : definition.role;
+        out.engines.push_back({definition.id, role,
                                engine_speed(*engine, w.now),
                                static_cast<int>(engine->open_calls.size() +
                                                 engine->peer_open_calls),
