--- a/src/capacity_state.hpp
+++ b/src/capacity_state.hpp
@@ -33,6 +33,7 @@
     load_history history;
     bool load_known = false;
     /// See `capacity_view`.
+    bool load_was_known = false;
     int held_total = 0;
     int needed = 0;
 };
--- a/src/choose_instance.cpp
+++ b/src/choose_instance.cpp
@@ -1,7 +1,6 @@
 #include "choose_instance.hpp"
 
 #include "available_from.hpp"
-#include "exchange_topology.hpp"
 #include "poll_caches.hpp"
 #include "predict_event_gap.hpp"
 #include "reported_load.hpp"
@@ -51,10 +50,10 @@
 /// each part.
 constexpr int cached_copies_per_part = 2;
 
-/// Number of engines of a role that are compared for one prompt in a large
-/// fleet. In the table of docs/design/even-load.md, two give shorter waits than
-/// more, and than one, at each age of the load reports.
-constexpr std::size_t compared_engines = 2;
+/// Number of top-ranked engines compared for one prompt when engine caches are
+/// not tracked. It covers the copies of the most popular part at 320 engines
+/// and keeps the cost of a choice independent of the number of engines.
+constexpr int max_ranked_candidates = 16;
 
 /// Rendezvous weight of an engine in prefill role relative to one in decode
 /// role, which prefills at half the speed.
@@ -79,7 +78,7 @@
     auto const &definition = instance.definition;
     auto const weight =
         definition.role == engine_role::prefill ? prefill_rank_weight : 1.0;
-    return prompt_rank_score(key, definition.id, weight * instance.rank_speed);
+    return prompt_rank_score(key, definition.id, weight);
 }
 
 bool is_eligible(world const &w, proxy_request_state const &request,
@@ -117,33 +116,22 @@
     return untried.empty() ? retried : untried;
 }
 
-void rank_candidates(world &w, proxy_request_state const &request,
+void rank_candidates(proxy_request_state const &request,
                      std::vector<candidate> &candidates)
 {
-    if (!request.content->prompt || (request.chain.empty() && is_mesh(w)))
+    if (request.chain.empty())
     {
         return;
     }
-    auto const key =
-        request.chain.empty() ? w.random() : request.chain.back().hash;
-    // Prompts are prefilled by the engines in prefill role as long as there are
-    // any: a copy of a part at an engine in decode role is evicted by the KV
-    // caches that it receives.
-    bool const by_role = !is_mesh(w);
-    using score = std::pair<bool, double>;
-    std::vector<std::pair<score, candidate *>> scores;
+    auto const key = request.chain.back().hash;
+    std::vector<std::pair<double, candidate *>> scores;
     std::ranges::transform(
         candidates, std::back_inserter(scores),
-        [key, by_role](candidate &item)
-        {
-            return std::pair(score(by_role && item.instance->definition.role !=
-                                                  engine_role::prefill,
-                                   rank_score(key, *item.instance)),
-                             &item);
-        });
-    std::ranges::sort(scores, {}, &std::pair<score, candidate *>::first);
+        [key](candidate &item)
+        { return std::pair(rank_score(key, *item.instance), &item); });
+    std::ranges::sort(scores, {}, &std::pair<double, candidate *>::first);
     int order = 0;
-    for (auto const &[place, item] : scores)
+    for (auto const &[score, item] : scores)
     {
         item->order = order++;
         item->rank = std::min(item->order, max_rank);
@@ -164,23 +152,14 @@
                              : reader->definition.data_centre;
 }
 
-/// @return leading tokens of the prompt that the engine's cache is known to
-/// hold
-int known_tokens(proxy_request_state const &request, candidate const &item)
-{
-    return item.instance->cache.copyable_tokens(request.chain);
-}
-
-/// Limits the candidates for a prompt to a few engines that other prompts do
-/// not have in common: in each role the two that rank highest, and those that
-/// hold most of it. A daemon of a large fleet knows the load of the engines as
-/// it was some hundred milliseconds ago. If all daemons compared all engines,
-/// they would choose the same few at the same time, whose queues then grow
-/// until the next report, while others idle.
+/// Limits the candidates to the top-ranked engines, for a hand-over to those of
+/// the data centre that holds the KV cache. Without this limit the cost of each
+/// choice grows with the number of engines, which matters at hundreds of them.
 void limit_candidates(world const &w, proxy_request_state const &request,
                       std::vector<candidate> &candidates)
 {
-    if (is_mesh(w) || !request.content->prompt)
+    if (polls_caches(w) || request.chain.empty() ||
+        candidates.size() <= static_cast<std::size_t>(max_ranked_candidates))
     {
         return;
     }
@@ -195,31 +174,10 @@
         }
     }
     std::ranges::sort(candidates, {}, &candidate::order);
-    std::vector<int> held;
-    std::ranges::transform(candidates, std::back_inserter(held),
-                           [&request](candidate const &item)
-                           { return known_tokens(request, item); });
-    std::ranges::sort(held, std::greater<>());
-    auto const least_held =
-        held.size() > compared_engines ? held[compared_engines - 1] : 0;
-    std::size_t prefilling = 0;
-    std::size_t decoding = 0;
-    std::size_t holding = 0;
-    std::erase_if(candidates,
-                  [&](candidate const &item)
-                  {
-                      auto &count =
-                          item.instance->definition.role == engine_role::prefill
-                              ? prefilling
-                              : decoding;
-                      if (++count <= compared_engines)
-                      {
-                          return false;
-                      }
-                      auto const tokens = known_tokens(request, item);
-                      bool const holds = tokens > 0 && tokens >= least_held;
-                      return !holds || ++holding > compared_engines;
-                  });
+    if (candidates.size() > static_cast<std::size_t>(max_ranked_candidates))
+    {
+        candidates.resize(max_ranked_candidates);
+    }
 }
 
 /// @return predicted time until an engine continues a prompt that another one
@@ -366,7 +324,7 @@
 ///         `find_prefix_source`, or else the top-ranked one, to which other
 ///         daemons may have sent them; empty for none
 std::string
-choose_prefix_source_address(world const &w, proxy_request_state const &request,
+choose_prefix_source_address(proxy_request_state const &request,
                              std::vector<candidate> const &candidates,
                              instance_state const &chosen)
 {
@@ -379,24 +337,7 @@
     {
         return source.instance->definition.address;
     }
-    auto first = std::ranges::find(candidates, 0, &candidate::order);
-    if (first != candidates.end() && !is_mesh(w) &&
-        first->instance == &chosen &&
-        chosen.definition.role == engine_role::prefill)
-    {
-        // Its copy may have been evicted; the engine that decodes the requests
-        // with this part has another one.
-        auto best = candidates.end();
-        for (auto item = candidates.begin(); item != candidates.end(); ++item)
-        {
-            if (item->instance->definition.role != engine_role::prefill &&
-                (best == candidates.end() || item->order < best->order))
-            {
-                best = item;
-            }
-        }
-        first = best;
-    }
+    auto const first = std::ranges::find(candidates, 0, &candidate::rank);
     bool const elsewhere =
         first != candidates.end() && first->instance != &chosen;
     return elsewhere ? first->instance->definition.address : std::string();
@@ -408,7 +349,7 @@
 choose_instance(world &w, proxy_request_state const &request)
 {
     auto candidates = eligible_candidates(w, request);
-    rank_candidates(w, request, candidates);
+    rank_candidates(request, candidates);
     limit_candidates(w, request, candidates);
     auto const source = polls_caches(w)
                             ? find_prefix_source(request, candidates, nullptr)
@@ -447,8 +388,8 @@
     }
     if (!request.retained_prefill)
     {
-        out.prefix_source_address = choose_prefix_source_address(
-            w, request, candidates, *best.instance);
+        out.prefix_source_address =
+            choose_prefix_source_address(request, candidates, *best.instance);
     }
     out.candidates = static_cast<int>(candidates.size());
     out.runner_up = candidates.size() > 1 ? candidates[1].cost : duration(0);
--- a/src/order_capacity.cpp
+++ b/src/order_capacity.cpp
@@ -238,6 +238,8 @@
         service.held_total = std::max(service.held_total, serving);
     }
     out.held_total = service.held_total;
+    service.load_was_known |= out.load.has_value();
+    out.load_was_known = service.load_was_known;
     return out;
 }
 
@@ -659,6 +661,7 @@
     for (auto &[name, service] : state.services)
     {
         service.held_total = 0;
+        service.load_was_known = false;
         service.needed = 0;
     }
 }
--- a/src/plan_capacity.cpp
+++ b/src/plan_capacity.cpp
@@ -65,7 +65,7 @@
 /// failing share, at least by `min_overload_growth`. Refused requests are not
 /// part of the measured load.
 constexpr double overload_failing_share = 0.05;
-constexpr double overload_utilisation = 0.25;
+constexpr double overload_utilisation = 0.5;
 constexpr double min_overload_growth = 0.1;
 
 using group_numbers = std::vector<int>;
@@ -822,7 +822,9 @@
         return plan_for_load(view);
     }
     auto const plan = plan_to_hold(view);
-    return plan.orders.empty() ? plan_to_replace(view) : plan;
+    // A load that was known may need more than a reclaim would leave.
+    bool const may_replace = plan.orders.empty() && !view.load_was_known;
+    return may_replace ? plan_to_replace(view) : plan;
 }
 
 } // namespace agateledge
--- a/src/predict_event_gap.cpp
+++ b/src/predict_event_gap.cpp
@@ -58,9 +58,8 @@
 duration predict_event_gap(world const &w, instance_state const &instance,
                            int unread_tokens, duration min_gap)
 {
-    auto const event_time = from_seconds(
-        to_seconds(undisturbed_event_time(w, instance.definition.service)) /
-        engine_speed(instance, w.now));
+    auto const event_time =
+        undisturbed_event_time(w, instance.definition.service);
     auto const tokens = unread_backlog(w, instance) + unread_tokens;
     return std::max(event_time, min_gap) +
            from_seconds(tokens / prefill_tokens_per_ms(w, instance) / 1e3);
--- a/src/predict_first_event.cpp
+++ b/src/predict_first_event.cpp
@@ -97,12 +97,7 @@
     return copy_base_time + from_seconds(transfer_ms / 1e3);
 }
 
-namespace
-{
-
-/// @return prompt tokens that an idle engine of this service and role prefills
-///         in a millisecond
-double estimated_tokens_per_ms(world const &w, instance_state const &instance)
+double prefill_tokens_per_ms(world const &w, instance_state const &instance)
 {
     auto const &definition = instance.definition;
     auto const found =
@@ -116,21 +111,20 @@
                : initial_prefill_tokens_per_ms;
 }
 
+namespace
+{
+
 /// @return age of the load that the other daemons reported
 duration load_age(world const &w)
 {
     auto const &load = w.proxy.load;
-    return std::max(w.now - load.summed_at, duration(0)) + load.report_delay;
+    auto const since_sum =
+        load.summed_at == instant{} ? duration(0) : w.now - load.summed_at;
+    return since_sum + load.report_delay;
 }
 
 } // namespace
 
-double prefill_tokens_per_ms(world const &w, instance_state const &instance)
-{
-    auto const estimate = estimated_tokens_per_ms(w, instance);
-    return estimate * engine_speed(instance, w.now);
-}
-
 double unread_backlog(world const &w, instance_state const &instance)
 {
     auto const own = static_cast<double>(instance.unread_tokens);
@@ -185,8 +179,8 @@
     }
     auto const ms = std::max(to_seconds(elapsed - engine_base_time) * 1e3, 1.0);
     auto const weight = std::min(tokens / full_weight_tokens, 1.0);
-    instance.speed.add(tokens / ms / estimated_tokens_per_ms(w, instance),
-                       weight, w.now);
+    instance.speed.add(tokens / ms / prefill_tokens_per_ms(w, instance), weight,
+                       w.now);
 }
 
 } // namespace
@@ -218,7 +212,7 @@
     auto const speed = std::clamp(unread_tokens / prefill_ms, min_tokens_per_ms,
                                   max_tokens_per_ms);
     auto const &definition = instance.definition;
-    auto const estimate = estimated_tokens_per_ms(w, instance);
+    auto const estimate = prefill_tokens_per_ms(w, instance);
     auto const weight = speed > estimate ? faster_weight : slower_weight;
     w.proxy.prefill_speeds[{definition.service, definition.role}] =
         estimate + weight * (speed - estimate);
