--- a/src/exchange_loads.cpp
+++ b/src/exchange_loads.cpp
@@ -62,7 +62,10 @@
     std::vector<engine_load> out;
     for (auto const &[id, instance] : w.proxy.instances.all())
     {
-        auto const speed = instance.speed.at(w.now);
+        // Only the assignment of roles needs the speeds of single engines.
+        auto const speed = w.proxy.limits.duties.assigns_roles
+                               ? instance.speed.at(w.now)
+                               : speed_samples();
         bool const closed = instance.closed_until > w.now;
         if (!instance.open_calls.empty() || closed ||
             speed.weight > min_speed_weight)
