--- a/src/capacity_state.hpp
+++ b/src/capacity_state.hpp
@@ -34,6 +34,7 @@
     bool load_known = false;
     /// See `capacity_view`.
     bool load_was_known = false;
+    int configured_total = 0;
     int held_total = 0;
     int needed = 0;
 };
--- a/src/capacity_view.hpp
+++ b/src/capacity_view.hpp
@@ -85,6 +85,8 @@
     role_speeds speeds;
     /// None while the load is not known.
     std::optional<service_load> load;
+    /// Total before the first order; 0 when it is not known.
+    int configured_total = 0;
     /// The load has been known under the present authority.
     bool load_was_known = false;
     /// Total that is kept while the load is unknown.
--- a/src/order_capacity.cpp
+++ b/src/order_capacity.cpp
@@ -237,6 +237,11 @@
     {
         service.held_total = std::max(service.held_total, serving);
     }
+    if (!any_order)
+    {
+        service.configured_total = std::max(service.configured_total, serving);
+    }
+    out.configured_total = service.configured_total;
     out.held_total = service.held_total;
     service.load_was_known |= out.load.has_value();
     out.load_was_known = service.load_was_known;
