Let engines beyond the configured total go while requests are late

Change: with a known load, late requests keep the total that was configured before the first order, not the highest one.

--- a/src/plan_capacity.cpp
+++ b/src/plan_capacity.cpp
@@ -580,12 +580,13 @@
 }
 
 /// @return true when the total may be lowered by `removed` engines: while
-///         requests fail, only engines go whose replacements serve
+///         requests fail, only engines beyond the configured total may go
 bool may_lower_total(capacity_view const &view, int removed)
 {
     bool const fails =
         !view.load || view.load->failing_share > max_failing_share;
-    return !fails || serving_engines(view).total() - removed >= view.held_total;
+    auto const least = view.load ? view.configured_total : view.held_total;
+    return !fails || serving_engines(view).total() - removed >= least;
 }
 
 /// @return number of engines that may be removed from the group now
--- a/test/correctness/plan_capacity_test.cpp
+++ b/test/correctness/plan_capacity_test.cpp
@@ -358,6 +358,7 @@
 TEST(plan_capacity, removes_nothing_while_callers_are_refused)
 {
     auto view = customer_a();
+    view.configured_total = 90;
     view.load = load_for(50);
     view.load->failing_share = 0.03;
     run(view, 20);
