Order ordinary engines only up to the configured total

Change: ordinary engines are ordered up to the total before the first order; what is beyond it is left to reclaimable ones.

--- a/src/plan_capacity.cpp
+++ b/src/plan_capacity.cpp
@@ -366,6 +366,11 @@
     group_numbers const &numbers() const { return numbers_; }
 
 private:
+    int total() const
+    {
+        return std::accumulate(numbers_.begin(), numbers_.end(), 0);
+    }
+
     int in_data_centre(std::size_t index) const
     {
         int out = 0;
@@ -383,8 +388,13 @@
     {
         auto const &group = view_.groups[index];
         bool const is_expected = numbers_[index] < expected_[index];
-        bool const allowed =
-            !group.reclaimable || reclaimable_pays(view_.limits);
+        // The configured total suits the peaks. What the load seems to need
+        // beyond it, as long as caches are cold, is left to reclaimable
+        // engines.
+        bool const allowed = group.reclaimable
+                                 ? reclaimable_pays(view_.limits)
+                                 : view_.configured_total == 0 ||
+                                       total() < view_.configured_total;
         return in_data_centre(index) < view_.limits.max_instances &&
                (is_expected ||
                 (new_engines && allowed && may_rise(view_, group)));
--- a/test/correctness/plan_capacity_test.cpp
+++ b/test/correctness/plan_capacity_test.cpp
@@ -149,6 +149,21 @@
     EXPECT_GE(serving_total(view), 90);
 }
 
+TEST(plan_capacity, orders_no_ordinary_engines_beyond_the_configured_total)
+{
+    auto view = customer_a();
+    view.configured_total = 90;
+    view.load = load_for(150);
+    for (auto &group : view.groups)
+    {
+        group.unavailable_until =
+            group.reclaimable ? view.now + seconds(60) : instant{};
+        group.refusals = group.reclaimable ? 3 : 0;
+    }
+    run(view, 20);
+    EXPECT_EQ(serving_total(view), 90);
+}
+
 TEST(plan_capacity, removes_nothing_for_engines_that_do_not_come)
 {
     auto view = customer_a();
