Log and measure how old the directory is when a call is sent

Cause: no line tells an old directory from a slow connect or a late main loop, so the hypotheses in docs/incidents/requests-to-leaving-instances.md cannot be told apart. Change: request_placed names the age of the directory; metrics for the time from the choice of an instance to the first byte sent and for the age of the directory at that byte; a warning, call_sent_late, when that age exceeds three quarters of the drain bound while the store answers.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -208,6 +208,10 @@
     }
     limit_retransmission();
     connected_ = true;
+    if (handlers_.on_send)
+    {
+        handlers_.on_send();
+    }
     if (!has_total_timeout_)
     {
         stop_timer();
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -65,6 +65,8 @@
 /// Handlers of an outgoing HTTP call; none runs after `http_call::cancel`.
 struct http_call_handlers
 {
+    /// The connection is established; the first byte is sent next.
+    std::function<void()> on_send;
     /// The reply's status and headers; before its body.
     std::function<void(int, header_list const &)> on_head;
     /// Part of the reply's body.
--- a/src/instance_client.cpp
+++ b/src/instance_client.cpp
@@ -58,6 +58,13 @@
     request.new_connection = true;
     auto const shared = std::make_shared<proxy_call const>(call);
     http_call_handlers handlers;
+    handlers.on_send = [this, shared]
+    {
+        if (on_send)
+        {
+            on_send(*shared, daemon_loop::clock_now() - shared->placed_at);
+        }
+    };
     handlers.on_head = [this, shared](int status, header_list const &headers)
     { handle_head(*shared, status, headers); };
     handlers.on_bytes = [this, shared](std::string_view bytes)
--- a/src/instance_client.hpp
+++ b/src/instance_client.hpp
@@ -45,6 +45,10 @@
     /// @param paused true to pause, false to resume
     void set_paused(request_number request, bool paused);
 
+    /// Called when the first byte of a call is sent, with the time since the
+    /// instance was chosen.
+    std::function<void(proxy_call const &, duration)> on_send;
+
 private:
     struct open_call
     {
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -3,6 +3,7 @@
 #include "available_from.hpp"
 #include "choose_instance.hpp"
 #include "count_usage.hpp"
+#include "directory_age.hpp"
 #include "hold_suspected_prompts.hpp"
 #include "log_proxied_request.hpp"
 #include "next_available_instance.hpp"
@@ -60,6 +61,8 @@
     call.prefix_source_address = choice.prefix_source_address;
     call.resume_after = request.last_event;
     call.connect_timeout = std::min(remaining, max_connect_time);
+    call.placed_at = w.now;
+    call.directory_known_at = directory_known_at(w);
     if (request.content->prompt)
     {
         call.priority = background ? least_urgent_priority
@@ -78,6 +81,13 @@
     return call;
 }
 
+/// @return age of the directory in milliseconds; empty when it was never read
+std::string directory_age_text(world const &w)
+{
+    auto const known_at = directory_known_at(w);
+    return known_at ? milliseconds_text(w.now - *known_at) : std::string();
+}
+
 void record_placement(world &w, proxy_request_state &request,
                       instance_state const &instance,
                       instance_choice const &choice)
@@ -88,6 +98,7 @@
         {{"instance", choice.instance},
          {"stage", choice.stage == proxy_stage::prefill ? "prefill" : "run"},
          {"row_version", std::to_string(instance.row_version)},
+         {"directory_age_ms", directory_age_text(w)},
          {"predicted_ms", milliseconds_text(prediction.time)},
          {"wait_ms", milliseconds_text(prediction.wait)},
          {"unread_tokens", std::to_string(prediction.unread_tokens)},
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -124,6 +124,11 @@
     /// beginning.
     std::string resume_after;
     duration connect_timeout{};
+    /// Time at which the instance was chosen.
+    instant placed_at{};
+    /// Time as of which the directory was known when the instance was chosen;
+    /// nothing when it was never read.
+    std::optional<instant> directory_known_at;
     /// Client account that the instance is told, empty for none; the caller's
     /// key is removed. Without a value, the headers are forwarded unchanged.
     std::optional<std::string> account;
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -56,6 +56,10 @@
     std::uint64_t tokens_read = 0;
     /// From the arrival of a request to its first call.
     latency_quantiles queued;
+    /// From the choice of an instance until the first byte of the call is sent.
+    latency_quantiles placed_to_sent;
+    /// Age of the directory of instances when the first byte of a call is sent.
+    latency_quantiles sent_directory_age;
     /// From the arrival of a request to the first event or the complete answer.
     latency_quantiles first_event;
     /// Time by which first events exceeded their predictions; 0 for earlier
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -203,6 +203,9 @@
     write_engine_metrics(out, w, prefix);
     write_duties(out, w);
     write_latency(out, "queued_seconds", metrics.queued);
+    write_latency(out, "placed_to_sent_seconds", metrics.placed_to_sent);
+    write_latency(out, "sent_directory_age_seconds",
+                  metrics.sent_directory_age);
     write_latency(out, "first_event_seconds", metrics.first_event);
     write_latency(out, "late_by_seconds", metrics.late_by);
     return out.str();
--- a/src/proxy_process.cpp
+++ b/src/proxy_process.cpp
@@ -5,6 +5,7 @@
 #include "duty_state.hpp"
 #include "http_exchange.hpp"
 #include "json_log.hpp"
+#include "log_proxied_request.hpp"
 #include "part_evidence_codec.hpp"
 #include "peer_load_codec.hpp"
 #include "proxy_metrics_text.hpp"
@@ -65,6 +66,10 @@
 /// the body of each request after its headers.
 constexpr duration body_timeout = seconds(15);
 
+/// Share of the drain bound up to which the age of the directory is ordinary.
+/// The pauses between reads are shorter.
+constexpr double max_ordinary_age_share = 0.75;
+
 /// Memory of all request bodies at the listeners for readiness and metrics,
 /// whose requests have none.
 constexpr std::size_t internal_body_bytes = std::size_t{64} << 10;
@@ -216,6 +221,8 @@
     { send_usage_snapshot(send); };
     peers_.on_datagram = [this](std::string_view bytes)
     { handle_datagram(bytes); };
+    instances_.on_send = [this](proxy_call const &call, duration since_placed)
+    { record_sent_call(call, since_placed); };
     loop_.polls().on_iteration = [this](duration busy, instant now)
     { gate_.record_iteration(busy, now); };
     gate_.on_change = [this](bool overloaded)
@@ -495,6 +502,29 @@
     loop_.input();
 }
 
+void proxy_process::record_sent_call(proxy_call const &call,
+                                     duration since_placed)
+{
+    auto &metrics = state_.proxy.metrics;
+    metrics.placed_to_sent.add(since_placed);
+    if (!call.directory_known_at)
+    {
+        return;
+    }
+    auto const age = call.placed_at + since_placed - *call.directory_known_at;
+    metrics.sent_directory_age.add(age);
+    // While the store is away, the directory is old for each call.
+    if (state_.proxy.store.reachable &&
+        age > max_ordinary_age_share * state_.proxy.limits.drain_bound)
+    {
+        log(log_level::warning, "call_sent_late",
+            {{"request", call.content->caller_attempt},
+             {"instance", call.instance},
+             {"since_placed_ms", milliseconds_text(since_placed)},
+             {"directory_age_ms", milliseconds_text(age)}});
+    }
+}
+
 bool proxy_process::admits_request()
 {
     if (gate_.admits(gate_random_.uniform()))
--- a/src/proxy_process.hpp
+++ b/src/proxy_process.hpp
@@ -88,6 +88,7 @@
                                       http_reply const &reply);
     void keep_configuration(std::uint64_t version, std::string const &text);
     bool admits_request();
+    void record_sent_call(proxy_call const &call, duration since_placed);
     void watch_limits(connection_acceptor &acceptor);
     void log(log_level level, std::string event,
              std::vector<std::pair<std::string, std::string>> fields);
