Send no call on a directory that is older than the drain bound allows

What callers and operators saw: requests reached instances later than the drain bound after the store had accepted that they leave. Cause: the pause between two reads of the directory (0.7 s), the timeout of a read (1.5 s), its back-off (0.225 s), a late main loop and the connect (0.4 s) each had a limit of its own, and nothing compared their sum, up to 2.8 s and more, with the bound of 2 s. After a lost answer a request could be placed on knowledge of any age. Change: calls carry the time by which they must be sent, counted from the start of the last answered read, also in the reports of other daemons; a connection that is established later is not used, and the request is placed again. A request that meets an older directory waits for the read under way. The timeout, the retry and the pause of reads are derived from the bound. With two failed reads in a row the store counts as away, and calls go on.

--- a/src/directory_age.hpp
+++ b/src/directory_age.hpp
@@ -15,6 +15,16 @@
 ///         report it used; nothing before the first
 std::optional<instant> directory_known_at(world const &w);
 
+/// @return time before which a call that is placed by the directory as it is
+///         known must be sent, so that it reaches no instance that has left;
+///         nothing while that is unknown: before the first read, and once the
+///         directory has become too old while the store does not answer
+std::optional<instant> directory_valid_until(world const &w);
+
+/// @return true when the directory is too old to place requests by, and the
+///         answer to a read of it is due soon
+bool awaits_directory(world const &w);
+
 } // namespace agateledge
 
 #endif
--- a/src/exchange_topology.cpp
+++ b/src/exchange_topology.cpp
@@ -36,9 +36,14 @@
 
 } // namespace
 
+bool is_mesh(proxy_state const &proxy)
+{
+    return proxy.daemons.size() <= max_mesh_daemons;
+}
+
 bool is_mesh(world const &w)
 {
-    return w.proxy.daemons.size() <= max_mesh_daemons;
+    return is_mesh(w.proxy);
 }
 
 /// @return name of the daemon that is the hub of a data centre; empty when no
--- a/src/exchange_topology.hpp
+++ b/src/exchange_topology.hpp
@@ -7,6 +7,7 @@
 namespace agateledge
 {
 
+struct proxy_state;
 struct world;
 
 // Which daemons send reports to which others. In a small fleet each daemon
@@ -14,6 +15,7 @@
 // hub, and the hubs to each other and back to their data centres.
 
 /// @return true when each daemon sends directly to all others
+bool is_mesh(proxy_state const &proxy);
 bool is_mesh(world const &w);
 
 /// @return name of the daemon that is the hub of a data centre; empty when no
--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -112,6 +112,7 @@
     address_ = request.address;
     body_ = request.body;
     not_after_ = request.not_after;
+    send_by_ = request.send_by;
     has_own_connection_ = request.new_connection;
     has_total_timeout_ = request.total_timeout.count() > 0;
     parser_ = std::make_unique<reply_parser>(
@@ -197,7 +198,7 @@
 
 void http_call::begin_exchange()
 {
-    if (!may_send())
+    if (!may_send() || daemon_loop::clock_now() >= send_by_)
     {
         // `connected_` is false, so the call ends as one that was not sent. Its
         // handlers do not run in here, because `start` may have called this.
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -46,6 +46,9 @@
     /// No byte is sent at or after this time on the daemon's clock, also not by
     /// the kernel; the connection of a call that fails is reset.
     instant not_after = instant::max();
+    /// The call ends as one that was not sent if its connection is not
+    /// established before this time on the daemon's clock.
+    instant send_by = instant::max();
     /// Uses a separate connection for this call, so that a late copy of an
     /// earlier reply cannot be taken for the reply to this one.
     bool new_connection = false;
@@ -138,6 +141,7 @@
     gsource_ptr write_source_;
     unsigned timer_ = 0;
     instant not_after_ = instant::max();
+    instant send_by_ = instant::max();
     bool has_own_connection_ = false;
     bool connected_ = false;
     bool has_total_timeout_ = false;
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -40,6 +40,10 @@
 /// reconsidered, because another instance may have been listed.
 constexpr duration pause_check_interval = milliseconds(100);
 
+/// Time after which a request that waits for a read of the directory is
+/// reconsidered if the reply does not come first.
+constexpr duration directory_check_interval = milliseconds(20);
+
 /// Lower limit of the retry-after time for a request whose deadline cannot be
 /// met; the time itself is derived from the excess of the predicted wait.
 constexpr duration min_retry_after = milliseconds(500);
@@ -63,6 +67,11 @@
     call.connect_timeout = std::min(remaining, max_connect_time);
     call.placed_at = w.now;
     call.directory_known_at = directory_known_at(w);
+    if (auto const until = directory_valid_until(w))
+    {
+        call.send_by = *until;
+        call.connect_timeout = std::min(call.connect_timeout, *until - w.now);
+    }
     if (request.content->prompt)
     {
         call.priority = background ? least_urgent_priority
@@ -270,6 +279,20 @@
     return per_s > 0 ? from_seconds(found->second / per_s) : duration(0);
 }
 
+/// Queues the request until a read of the directory is answered or has failed.
+void await_directory(world &w, proxy_request_state &request,
+                     queued_work &queued)
+{
+    if (!std::exchange(request.awaits_directory, true))
+    {
+        buffer_request_log(w, request, "directory_awaited",
+                           {{"directory_age_ms", directory_age_text(w)}});
+        ++w.proxy.metrics.directory_waits;
+    }
+    request.not_before = w.now + directory_check_interval;
+    requeue(w, request, queued);
+}
+
 /// Queues the request until an instance takes it: after the end of a pause that
 /// it asked for, or within its request limit. Fails the request when that is
 /// too late, or when neither is the reason that there is no instance.
@@ -322,6 +345,12 @@
         return;
     }
     request.awaits_instance = false;
+    if (awaits_directory(w))
+    {
+        await_directory(w, request, queued);
+        return;
+    }
+    request.awaits_directory = false;
     auto const choice = choose_instance(w, request);
     if (!choice)
     {
--- a/src/poll_schedule.cpp
+++ b/src/poll_schedule.cpp
@@ -1,7 +1,9 @@
 #include "poll_schedule.hpp"
 
+#include "exchange_topology.hpp"
 #include "fleet_interval.hpp"
 #include "proxy_state.hpp"
+#include "share_store_reads.hpp"
 
 #include <algorithm>
 
@@ -11,9 +13,17 @@
 namespace
 {
 
-/// Part of the drain limit that is reserved for the duration of a read from a
-/// slow store and for requests that were placed just before its reply.
-constexpr duration read_margin = milliseconds(1300);
+/// Duration of a read from a slow store.
+constexpr duration slow_read_time = milliseconds(250);
+
+/// Part of the drain limit that is reserved for a read whose answer is lost,
+/// for the one that follows it, and for calls that were placed just before its
+/// reply.
+constexpr duration read_margin =
+    instances_read_timeout +
+    std::chrono::duration_cast<duration>(initial_read_backoff *
+                                         max_backoff_factor) +
+    slow_read_time + delivery_time;
 
 /// Interval of reads of the instances while their rows are being rewritten
 /// after an outage of the store; also the lower limit of the interval.
@@ -22,6 +32,9 @@
 /// Lower limit of the long-poll wait of a read of the configuration.
 constexpr duration min_long_poll_wait = milliseconds(500);
 
+/// Timeout of a retried read. Retries are not long polls.
+constexpr duration retry_timeout = milliseconds(1000);
+
 /// Time to detect a broken connection, in addition to the long-poll wait and
 /// the timeout.
 constexpr duration reconnect_margin = milliseconds(300);
@@ -56,6 +69,15 @@
            row_visibility_delay;
 }
 
+duration read_timeout_of(polled_table table, int failures)
+{
+    if (table == polled_table::instances)
+    {
+        return failures == 1 ? instances_retry_timeout : instances_read_timeout;
+    }
+    return failures > 0 ? retry_timeout : store_read_timeout;
+}
+
 poll_schedule poll_schedule_of(proxy_state const &proxy, polled_table table,
                                bool restored)
 {
@@ -69,8 +91,10 @@
                                    min_long_poll_wait)};
     case polled_table::instances:
     {
-        auto const regular = std::max<duration>(
-            limits.drain_bound - read_margin, min_instances_interval);
+        auto const report_lag = is_mesh(proxy) ? duration(0) : max_report_lag;
+        auto const regular =
+            std::max<duration>(limits.drain_bound - read_margin - report_lag,
+                               min_instances_interval);
         return {restored ? min_instances_interval : regular, duration(0)};
     }
     case polled_table::daemons:
--- a/src/poll_schedule.hpp
+++ b/src/poll_schedule.hpp
@@ -25,6 +25,24 @@
 /// 4 ms, and up to 60 times as long while the store is slow.
 constexpr duration store_read_timeout = milliseconds(1500);
 
+/// The same for the table of instances, whose age is bounded: several times the
+/// duration of a read while the store is slow.
+constexpr duration instances_read_timeout = milliseconds(600);
+
+/// The same for the first retry, so that the daemon knows soon whether the
+/// store is away.
+constexpr duration instances_retry_timeout = milliseconds(300);
+
+/// Back-off after a failed read; doubles with each consecutive failure.
+constexpr duration initial_read_backoff = milliseconds(150);
+
+/// Factors by which a back-off varies at random.
+constexpr double min_backoff_factor = 0.5;
+constexpr double max_backoff_factor = 1.5;
+
+/// Time that a call needs to reach its instance after it was sent.
+constexpr duration delivery_time = milliseconds(200);
+
 /// Time after an outage of the store until an instance whose row is still
 /// missing is removed. Running instances have rewritten their rows after 2 s.
 constexpr duration missing_row_grace = milliseconds(2200);
@@ -40,6 +58,10 @@
 poll_schedule poll_schedule_of(proxy_state const &proxy, polled_table table,
                                bool restored);
 
+/// @param failures failed reads in a row before this one
+/// @return timeout of a read of the table, in addition to its long-poll wait
+duration read_timeout_of(polled_table table, int failures);
+
 /// @return interval at which a daemon renews its own row; grows with the fleet,
 ///         so that the total write rate of all daemons stays the same
 duration daemon_row_interval(proxy_state const &proxy);
--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -16,11 +16,9 @@
 namespace
 {
 
-/// Back-off after failed reads; doubles with each consecutive failure. The
-/// longest back-off and the timeout of a retried read together must stay below
-/// the time within which a daemon must have caught up after an outage of the
-/// store.
-constexpr duration initial_backoff = milliseconds(150);
+/// Longest back-off after failed reads. It and the timeout of a retried read
+/// together must stay below the time within which a daemon must have caught up
+/// after an outage of the store.
 constexpr duration max_backoff = milliseconds(800);
 
 /// The longest back-off of a table that has not been read whole yet. With the
@@ -30,9 +28,6 @@
 /// a second, half of what the store takes.
 constexpr duration max_start_backoff = milliseconds(300);
 
-/// Timeout of a retried read. Retries are not long polls.
-constexpr duration retry_timeout = milliseconds(1000);
-
 table_poll_state &poll_state_of(world &w, polled_table table)
 {
     return w.proxy.table_polls.at(static_cast<std::size_t>(table));
@@ -50,10 +45,13 @@
 duration backoff(world &w, table_poll_state const &poll_state)
 {
     auto const exponential =
-        initial_backoff * (1 << std::min(poll_state.failures - 1, 5));
+        initial_read_backoff * (1 << std::min(poll_state.failures - 1, 5));
     auto const capped = std::min(
         exponential, poll_state.fully_read ? max_backoff : max_start_backoff);
-    return from_seconds(to_seconds(capped) * (0.5 + w.random.uniform()));
+    auto const factor =
+        min_backoff_factor +
+        (max_backoff_factor - min_backoff_factor) * w.random.uniform();
+    return from_seconds(to_seconds(capped) * factor);
 }
 
 void record_reachability(world &w, bool reachable, row_read_reply const &reply)
@@ -128,7 +126,11 @@
     {
         poll_state.version = std::max(poll_state.version, reply.version);
     }
-    poll_state.next_read = w.now + schedule_of(w, reply.table).interval;
+    // The table is as old as the start of the read.
+    auto const sent_at =
+        store_view_of(w).read_sent_at.at(static_cast<std::size_t>(reply.table));
+    poll_state.next_read =
+        std::max(w.now, sent_at + schedule_of(w, reply.table).interval);
 }
 
 void handle_reply(world &w, row_read_reply &reply)
@@ -182,7 +184,7 @@
                               ? duration(0)
                               : schedule.long_poll_wait;
     read.timeout =
-        retrying ? retry_timeout : read.long_poll_wait + store_read_timeout;
+        read.long_poll_wait + read_timeout_of(table, poll_state.failures);
     poll_state.in_flight = true;
     record_store_read(w, read);
     w.out.row_reads.push_back(read);
--- a/src/proxy_messages.hpp
+++ b/src/proxy_messages.hpp
@@ -129,6 +129,9 @@
     /// Time as of which the directory was known when the instance was chosen;
     /// nothing when it was never read.
     std::optional<instant> directory_known_at;
+    /// The call is not sent at or after this time, because the instance may
+    /// have left meanwhile.
+    instant send_by = instant::max();
     /// Client account that the instance is told, empty for none; the caller's
     /// key is removed. Without a value, the headers are forwarded unchanged.
     std::optional<std::string> account;
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -32,6 +32,8 @@
     counter_map load_reports;
     /// Incarnations that announced that they leave.
     std::uint64_t leave_announcements = 0;
+    /// Requests that waited for a read of the directory.
+    std::uint64_t directory_waits = 0;
     /// Pauses that instances asked for.
     std::uint64_t instance_pauses = 0;
     /// Request limits that instances began to name.
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -138,6 +138,8 @@
     write_counters(out, "load_reports_total", "result", metrics.load_reports);
     write_value(out, "leave_announcements_total", "counter",
                 static_cast<double>(metrics.leave_announcements));
+    write_value(out, "directory_waits_total", "counter",
+                static_cast<double>(metrics.directory_waits));
     write_value(out, "instance_pauses_total", "counter",
                 static_cast<double>(metrics.instance_pauses));
     write_value(out, "request_limits_total", "counter",
--- a/src/proxy_table.hpp
+++ b/src/proxy_table.hpp
@@ -64,6 +64,8 @@
     /// The request waits because each instance of its service has asked for a
     /// pause or has had this daemon's share of its request limit.
     bool awaits_instance = false;
+    /// The request waits for a read of the directory.
+    bool awaits_directory = false;
     /// Prompt tokens that the chosen engine would have had to prefill when the
     /// request was last held back; 0 once it is sent.
     int waiting_tokens = 0;
--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -31,7 +31,6 @@
 
 /// Time by which a view may be older than the interval of the readers before a
 /// daemon reads the store itself. The next report then is late by this time.
-/// The reserve for a read from a slow store, 1.3 s, covers it.
 constexpr duration report_slack = milliseconds(300);
 
 /// The same for the configuration, whose readers report at least at the end of
@@ -41,7 +40,7 @@
 /// Further time by which a daemon delays its own read at random, so that those
 /// of a data centre do not all read the store at the same moment when their
 /// readers end.
-constexpr duration max_read_spread = milliseconds(100);
+constexpr duration max_read_spread = max_report_lag - report_slack;
 
 /// Time for which reports repeat a change: three intervals of a reader, so that
 /// two lost datagrams in a row do no harm.
--- a/src/share_store_reads.hpp
+++ b/src/share_store_reads.hpp
@@ -16,6 +16,10 @@
 struct row_read_reply;
 struct world;
 
+/// Maximum time by which a daemon that follows the reports of others reads the
+/// store later than they do.
+constexpr duration max_report_lag = milliseconds(400);
+
 // In a fleet whose daemons do not all report to each other, two daemons of each
 // data centre read the store and send the others what changed. A daemon whose
 // view grows older than its bounds allow reads the store itself.
--- a/test/correctness/proxy_leaving_test.cpp
+++ b/test/correctness/proxy_leaving_test.cpp
@@ -407,11 +407,16 @@
             change(random_.below(endpoint_count));
         }
         daemon_.send(random_.below(2) == 0 ? "/book/1" : "/look/1");
-        for (auto const &call : daemon_.advance(milliseconds(10)).proxy_calls)
+        auto const calls = daemon_.advance(milliseconds(10)).proxy_calls;
+        // All calls of a tick are sent before the first reply to one of them.
+        for (auto const &call : calls)
         {
-            auto &called = endpoints_[index_of(call.instance)];
             ++calls_;
-            broken_ += called.announced ? 1 : 0;
+            broken_ += endpoints_[index_of(call.instance)].announced ? 1 : 0;
+        }
+        for (auto const &call : calls)
+        {
+            auto &called = endpoints_[index_of(call.instance)];
             called.announced |= called.leaving;
             reply(daemon_, call, 200, false, called.leaving);
         }
