Close the kept connections to a server when a call on one of them times out

What operators see: connections that are open go silent for good, while new ones work. Until the daemon knows the store again, instances that leave still get requests. Cause: each retried read took another kept connection to the store, as silent as the one before, and waited for its timeout and a longer back-off again. With three kept connections the directory was older than the 3 s in which a daemon must know the store again. Evidence: silent_connection.only_one_call_fails_on_connections_that_went_silent failed before: the second call took a silent connection as well. Change: a call that times out on a kept connection drops the other idle ones to that address, so that the next call opens a new one. Result: the test passes.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -91,6 +91,11 @@
     {
         auto const call = static_cast<http_call *>(data)->shared_from_this();
         call->timer_ = 0;
+        if (call->reuses_connection_)
+        {
+            // The other connections may have gone silent with this one.
+            call->kept_->drop(call->address_);
+        }
         call->fail();
         return G_SOURCE_REMOVE;
     }
@@ -140,6 +145,7 @@
     if (!has_own_connection_)
     {
         socket_ = kept.take(address_);
+        reuses_connection_ = socket_ != nullptr;
     }
     if (socket_)
     {
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -143,6 +143,8 @@
     instant not_after_ = instant::max();
     instant send_by_ = instant::max();
     bool has_own_connection_ = false;
+    /// The connection was kept from an earlier call.
+    bool reuses_connection_ = false;
     bool connected_ = false;
     bool has_total_timeout_ = false;
     bool paused_ = false;
--- a/src/kept_connections.cpp
+++ b/src/kept_connections.cpp
@@ -87,6 +87,11 @@
     }
 }
 
+void kept_connections::drop(std::string const &address)
+{
+    idle_.erase(address);
+}
+
 std::size_t kept_connections::size() const
 {
     std::size_t total = 0;
--- a/src/kept_connections.hpp
+++ b/src/kept_connections.hpp
@@ -32,6 +32,9 @@
     /// Keeps a connection whose last reply was read to its end.
     void keep(std::string const &address, gobject_ptr<GSocket> socket);
 
+    /// Closes all connections to a server that are kept.
+    void drop(std::string const &address);
+
     /// @return number of connections that are kept
     std::size_t size() const;
 
