Keep an instance that leaves out of use whatever a later row of it says

What callers could see: a request reaches an instance that has left. Cause: rows were ordered by the store's version alone. A write of the instance that the store carries out after the one that says draining, because its answer was lost, made the instance usable again. Only a change of the store's era was guarded against. Evidence: proxy_directory.a_later_row_of_the_same_start_does_not_revoke_a_leave failed before: the instance was called again after such a row, and after its row had been removed and written again. Change: a row that says draining is recorded for that start of the instance, in the table that holds the announcements of replies. A new start is used; so is an instance of unknown start, as it cannot be told from a new one.

--- a/src/record_leaving_instances.cpp
+++ b/src/record_leaving_instances.cpp
@@ -29,8 +29,7 @@
     {
         return;
     }
-    if (!w.proxy.leaving_instances.extend(attempt->incarnation,
-                                          w.now + retention))
+    if (!record_leave(w, attempt->incarnation))
     {
         return;
     }
@@ -67,6 +66,11 @@
 
 } // namespace
 
+bool record_leave(world &w, instance_incarnation const &incarnation)
+{
+    return w.proxy.leaving_instances.extend(incarnation, w.now + retention);
+}
+
 void record_leaving_instances(world &w)
 {
     std::ranges::for_each(w.in.proxy_events, [&w](proxy_event const &event)
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -2,8 +2,10 @@
 
 #include "account_directory.hpp"
 #include "follow_store_era.hpp"
+#include "instance_incarnation.hpp"
 #include "log_proxied_request.hpp"
 #include "poll_schedule.hpp"
+#include "record_leaving_instances.hpp"
 #include "share_store_reads.hpp"
 #include "store_view_state.hpp"
 #include "world.hpp"
@@ -162,6 +164,12 @@
                          known->definition != definition;
     bool const role_changed =
         known != nullptr && known->definition.role != definition.role;
+    if (!definition.accepts_work && definition.started_at_ms != 0)
+    {
+        // A write that the store carries out late may say otherwise. Without a
+        // known start, a restarted instance could not be told apart.
+        record_leave(w, incarnation_of(definition));
+    }
     auto &state = w.proxy.instances.put(definition, row.row_version);
     if (role_changed)
     {
--- a/test/correctness/proxy_directory_test.cpp
+++ b/test/correctness/proxy_directory_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,24 @@
     return daemon.state.proxy.instances.find(id) != nullptr;
 }
 
+/// @return instances that are called for some requests that may go to any
+std::set<std::string> called_instances(proxy_fixture &daemon)
+{
+    for (int i = 0; i < 20; ++i)
+    {
+        daemon.send("/look/1");
+    }
+    std::set<std::string> out;
+    for (auto const &call : daemon.advance(milliseconds(20)).proxy_calls)
+    {
+        out.insert(call.instance);
+        daemon.reply_head(call.attempt, 404);
+        daemon.reply_ends(call.attempt, proxy_event_kind::finished);
+    }
+    daemon.tick_now();
+    return out;
+}
+
 TEST(proxy_directory, a_removed_row_ends_the_instance_at_once)
 {
     proxy_fixture daemon;
@@ -98,6 +117,25 @@
     }
 }
 
+TEST(proxy_directory, a_later_row_of_the_same_start_does_not_revoke_a_leave)
+{
+    proxy_fixture daemon;
+    daemon.list_endpoints(2);
+    auto desk = daemon.state.proxy.instances.find("desk-1")->definition;
+    desk.started_at_ms = 1000;
+    auto leaving = desk;
+    leaving.accepts_work = false;
+    daemon.list(leaving);
+    daemon.list(desk);
+    EXPECT_EQ(called_instances(daemon), std::set<std::string>{"desk-2"});
+    daemon.instances_changed({}, {"desk-1"});
+    daemon.list(desk);
+    EXPECT_EQ(called_instances(daemon), std::set<std::string>{"desk-2"});
+    desk.started_at_ms = 2000;
+    daemon.list(desk);
+    EXPECT_TRUE(called_instances(daemon).contains("desk-1"));
+}
+
 TEST(proxy_directory, an_older_configuration_is_never_put_in_force)
 {
     proxy_fixture daemon;
