Read a table whole at once when the store no longer has its history

What callers could see: a request reaches an instance that has left, or is routed by an old configuration. Cause: a lost history counted as a failure of the store: it added to the failures before it, so that after an outage the read of the whole table waited for a back-off of up to 1.2 s, beyond the 3 s in which a daemon must know the store again; and the store counted as away although it answered. Evidence: proxy_store.a_lost_history_does_not_delay_the_next_read fails with the former code: after an outage no read follows in the tick of the reply. Change: the reply proves that the store answers; the table is read whole in the same tick. A whole read that is answered in this way still is a failure.

--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -84,19 +84,25 @@
 {
     ++poll_state.failures;
     poll_state.next_read = w.now + backoff(w, poll_state);
-    if (reply.outcome == row_outcome::history_lost)
-    {
-        poll_state.needs_full_read = true;
-        poll_state.after_key.clear();
-        log_proxied_request(
-            w, log_level::warning, "history_lost",
-            {{"table", std::string(name_of(reply.table))},
-             {"after_version", std::to_string(poll_state.version)}});
-        return;
-    }
     record_reachability(w, false, reply);
 }
 
+/// Reads the table whole at once: the store answers, and the changes that it no
+/// longer has are not known yet.
+void handle_lost_history(world &w, table_poll_state &poll_state,
+                         row_read_reply const &reply)
+{
+    poll_state.needs_full_read = true;
+    poll_state.after_key.clear();
+    poll_state.failures = 0;
+    poll_state.next_read = w.now;
+    record_reachability(w, true, reply);
+    log_proxied_request(
+        w, log_level::warning, "history_lost",
+        {{"table", std::string(name_of(reply.table))},
+         {"after_version", std::to_string(poll_state.version)}});
+}
+
 void handle_rows(world &w, table_poll_state &poll_state,
                  row_read_reply const &reply)
 {
@@ -153,6 +159,12 @@
         handle_rows(w, poll_state, reply);
         return;
     }
+    // Only a read of changes can meet a lost history.
+    if (reply.outcome == row_outcome::history_lost && !reply.full)
+    {
+        handle_lost_history(w, poll_state, reply);
+        return;
+    }
     handle_failure(w, poll_state, reply);
 }
 
--- a/test/correctness/proxy_store_test.cpp
+++ b/test/correctness/proxy_store_test.cpp
@@ -124,6 +124,24 @@
     }
 }
 
+TEST(proxy_store, a_lost_history_does_not_delay_the_next_read)
+{
+    proxy_fixture daemon;
+    simulated_store store(daemon);
+    store.advance(seconds(5), false);
+    store.advance(seconds(30), true);
+    row_read_reply reply;
+    reply.table = polled_table::instances;
+    reply.full = false;
+    reply.outcome = row_outcome::history_lost;
+    reply.status = 410;
+    daemon.state.in.row_read_replies.push_back(reply);
+    auto const out = daemon.tick_now();
+    ASSERT_EQ(out.row_reads.size(), 1U);
+    EXPECT_TRUE(out.row_reads.front().full);
+    EXPECT_EQ(out.row_reads.front().table, polled_table::instances);
+}
+
 TEST(proxy_store, leaving_instances_are_seen_within_their_bound)
 {
     for (auto const bound : {seconds(2), seconds(3), seconds(4)})
