Give up request bodies that have stopped before ones that make progress

What callers saw: a large sound request was refused (queue_full) while bodies that had stopped short of their end held the memory for requests. Cause: until a body had stalled for 2 s, the largest body of the address that held the most went first, and that is the sound one. Evidence: held_requests.a_body_that_stopped_gives_way_to_one_that_goes_on failed before: the sound request of 3 MB was refused one second after 70 others had stopped. Change: a body that has received nothing for an eighth of the stall time is idle, and idle bodies go before those that make progress. Result: the test passes, with those of held requests and replies.

--- a/src/choose_messages_to_drop.cpp
+++ b/src/choose_messages_to_drop.cpp
@@ -28,7 +28,10 @@
     {
         return 0;
     }
-    return message.has_length ? 2 : 1;
+    constexpr int first_idle = 1;
+    constexpr int first_active = 3;
+    return (message.idle ? first_idle : first_active) +
+           (message.has_length ? 1 : 0);
 }
 
 /// Chooses among the messages of one rank.
@@ -81,7 +84,7 @@
                         [](std::size_t sum, held_message const &message)
                         { return sum + message.bytes; });
     std::vector<std::size_t> out;
-    for (int const rank : {0, 1, 2})
+    for (int const rank : {0, 1, 2, 3, 4})
     {
         drop_some(messages, rank, limit, total, out);
     }
--- a/src/choose_messages_to_drop.hpp
+++ b/src/choose_messages_to_drop.hpp
@@ -19,15 +19,19 @@
     bool has_length = false;
     /// Nothing of the message has arrived for some time.
     bool stalled = false;
+    /// Nothing of the message has arrived for a moment.
+    bool idle = false;
 
     auto operator<=>(held_message const &) const = default;
 };
 
 /// Chooses the messages to give up so that the others fit into a limit.
-/// Stalled messages go first, because they may never end; then messages without
-/// a declared length, because they may be endless.
-/// Each choice is the largest message of the sender whose messages take the
-/// most memory, so that a faulty sender does not displace messages of others.
+/// Stalled messages go first, because they may never end; then idle ones, so
+/// that a message that makes progress is not given up for one that makes none.
+/// Of these and of the others, messages without a declared length go first,
+/// because they may be endless. Each choice is the largest message of the
+/// sender whose messages take the most memory, so that a faulty sender does not
+/// displace messages of others.
 ///
 /// @param messages all messages that are kept
 /// @param limit maximum number of bytes of the messages that stay
--- a/src/exchange_server.hpp
+++ b/src/exchange_server.hpp
@@ -27,6 +27,11 @@
 /// Time within which a caller must read some of the bytes buffered for it.
 constexpr duration reader_timeout = seconds(30);
 
+/// Part of the time after which a body counts as stalled; a body that has
+/// received nothing for so long is idle. By default 250 ms, which is more than
+/// a retransmission takes.
+constexpr int idle_share_of_stall = 8;
+
 /// HTTP server of one listener. Keeps an `Exchange` for each request, from its
 /// start to the end of its answer, and calls the listener's handlers as it
 /// progresses.
@@ -335,7 +340,9 @@
     /// into their limits.
     void refuse_over_memory()
     {
-        auto const stalled_since = daemon_loop::clock_now() - stalled_time_;
+        auto const now = daemon_loop::clock_now();
+        auto const stalled_since = now - stalled_time_;
+        auto const idle_since = now - stalled_time_ / idle_share_of_stall;
         std::vector<held_exchange *> items;
         std::vector<held_message> messages;
         for (auto *message : receiving_)
@@ -346,7 +353,8 @@
                 items.push_back(&item);
                 messages.push_back({remote_host(message), item.held_bytes,
                                     has_declared_length(message),
-                                    item.progress_at < stalled_since});
+                                    item.progress_at < stalled_since,
+                                    item.progress_at < idle_since});
             }
         }
         std::ranges::for_each(
--- a/test/correctness/choose_messages_to_drop_test.cpp
+++ b/test/correctness/choose_messages_to_drop_test.cpp
@@ -26,6 +26,16 @@
     EXPECT_EQ(choose_messages_to_drop(messages, 0), indices({2, 0, 3, 1}));
 }
 
+TEST(choose_messages_to_drop, an_idle_message_goes_before_one_with_progress)
+{
+    std::vector<held_message> const messages{{"a", 900, false, false, false},
+                                             {"b", 100, true, false, true},
+                                             {"b", 100, false, false, true},
+                                             {"b", 100, false, true, true}};
+    EXPECT_EQ(choose_messages_to_drop(messages, 900),
+              (std::vector<std::size_t>{3, 2, 1}));
+}
+
 TEST(choose_messages_to_drop, messages_without_a_declared_length_go_first)
 {
     std::vector<held_message> const messages{
--- a/test/error/held_requests_test.cpp
+++ b/test/error/held_requests_test.cpp
@@ -100,6 +100,36 @@
     EXPECT_TRUE(callers.are_refused(100));
 }
 
+TEST(held_requests, a_body_that_stopped_gives_way_to_one_that_goes_on)
+{
+    constexpr std::size_t part_bytes = std::size_t{500} << 10;
+    constexpr int stopped_count = 70;
+    constexpr int sound_parts = 6;
+    loopback_proxy daemon(seconds(30), milliseconds(1));
+    run_main_context_until([] { return false; }, milliseconds(500));
+    auto const head = [](std::string const &attempt)
+    {
+        return "POST /book/1 HTTP/1.1\r\nHost: localhost\r\nAttempt-Id: " +
+               attempt + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    };
+    std::vector<std::unique_ptr<raw_client>> stopped;
+    for (int i = 0; i < stopped_count; ++i)
+    {
+        stopped.push_back(std::make_unique<raw_client>(daemon.port()));
+        stopped.back()->send(head("a") + chunk_of(part_bytes));
+    }
+    run_main_context_until([] { return false; }, seconds(1));
+    raw_client sound(daemon.port());
+    sound.send(head("b"));
+    for (int i = 0; i < sound_parts; ++i)
+    {
+        sound.send(chunk_of(part_bytes));
+        run_main_context_until([] { return false; }, milliseconds(5));
+    }
+    sound.send("0\r\n\r\n");
+    EXPECT_TRUE(sound.read_until("seat of b")) << sound.received;
+}
+
 TEST(held_requests, they_are_bounded_at_the_own_interface)
 {
     scripted_deployment deployment;
