Take no reply as whole whose connection failed while the request was sent

Cause: the reset was reported to the write of the request, which ignores errors because an early reply decides how the call ends. The next read then returned what was left and an end like that of an orderly close, which is the end of a reply without a length. Evidence: reset_during_upload.a_part_without_a_declared_length_is_not_the_whole failed before at all five pauses (answered). Change: the end of a connection ends no reply if sending has failed or the request was not sent completely. A reply that is complete by its length or its last chunk counts as before. Result: the tests pass, with those of truncated, repeated and held replies.

--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -298,7 +298,8 @@
     {
         // A server may answer and close before it has read the request, so the
         // reply decides how the call ends.
-        return !must_wait(failure.get());
+        send_failed_ = !must_wait(failure.get());
+        return send_failed_;
     }
     sent_bytes_ += static_cast<std::size_t>(count);
     return sent_completely();
@@ -371,6 +372,14 @@
         }
         return;
     }
+    if (count == 0 && (send_failed_ || !sent_completely()))
+    {
+        // The server has reset the connection, or has closed it before it had
+        // the request; a reply that ends with its connection may be a part.
+        parser_->connection_failed();
+        fail();
+        return;
+    }
     auto const progress =
         count == 0
             ? parser_->end_of_input()
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -138,6 +138,9 @@
     shared_text body_;
     /// Bytes of the head and the body that were sent.
     std::size_t sent_bytes_ = 0;
+    /// The connection failed while the request was being sent. Reading may
+    /// still end as if the server had closed it.
+    bool send_failed_ = false;
     gobject_ptr<GSocket> socket_;
     gsource_ptr read_source_;
     gsource_ptr write_source_;
--- a/src/reply_parser.cpp
+++ b/src/reply_parser.cpp
@@ -211,6 +211,14 @@
     return progress_;
 }
 
+void reply_parser::connection_failed()
+{
+    if (progress_ == reply_progress::incomplete)
+    {
+        progress_ = reply_progress::truncated;
+    }
+}
+
 bool reply_parser::connection_is_reusable() const
 {
     return progress_ == reply_progress::complete && pending_.empty() &&
--- a/src/reply_parser.hpp
+++ b/src/reply_parser.hpp
@@ -55,6 +55,10 @@
     /// The connection was closed by the peer.
     reply_progress end_of_input();
 
+    /// Ends the bytes by a failure of the connection: a reply that is not
+    /// complete is truncated.
+    void connection_failed();
+
     reply_progress progress() const { return progress_; }
 
     /// @return true when the reply is complete, nothing follows it, and its
