Take a reply with an invalid status code as malformed at once

Cause: the parser takes any three digits as a status. Evidence: reply_parser.a_malformed_reply_is_found_however_it_is_split failed before for 000, 099, 600 and 999. For blanks, tabs and control bytes in the names and values of fields, and for empty names, which the same test holds now, it did not fail: the parser refused them before. Change: status codes outside 100 to 599 (RFC 9110, section 15) end the reply as malformed, which is no answer of the instance. The parser serves all clients.

--- a/src/reply_parser.cpp
+++ b/src/reply_parser.cpp
@@ -24,6 +24,10 @@
 /// report progress send one every few seconds at most.
 constexpr int max_interim_heads = 128;
 
+/// Valid status codes (RFC 9110, section 15).
+constexpr int first_status = 100;
+constexpr int last_status = 599;
+
 constexpr int first_final_status = 200;
 
 std::string_view view_of(beast_text text)
@@ -55,9 +59,14 @@
     {
     }
 
-    void on_response_impl(int status, beast_text, int, beast_error &) override
+    void on_response_impl(int status, beast_text, int,
+                          beast_error &error) override
     {
         status_ = status;
+        if (status < first_status || status > last_status)
+        {
+            error = http::error::bad_status;
+        }
     }
 
     void on_field_impl(http::field, beast_text name, beast_text value,
--- a/test/error/reply_parser_test.cpp
+++ b/test/error/reply_parser_test.cpp
@@ -97,12 +97,24 @@
         });
 }
 
-constexpr std::array<std::string_view, 5> malformed_replies{
+constexpr std::array<std::string_view, 17> malformed_replies{
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     "3\r\nabc\r\nworker 3 ended\r\nwhile it wrote\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcde\r\n",
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd",
     "HTTP/1.1 2x0 OK\r\n\r\n",
+    "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 999 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nContent-Length\t: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nContent\tLength: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nA\x7f: c\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\n: c\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nA: c\x01\r\nContent-Length: 2\r\n\r\nok",
     "worker 3 ended\r\nwhile it wrote\r\n\r\n",
 };
 
