Reset the connection of a call to an instance that is given up

What callers and operators could see: a request reaches an instance after its call was cancelled or timed out, such as at the end of a partition, when the instance has left or the caller has gone. Cause: closing a socket leaves its bytes to the kernel, which delivers them whenever the other host can be reached again. Evidence: late_call.no_byte_arrives_after_its_call_was_given_up failed before: 4,096 bytes had arrived at the cancel, and all 1,048,675 of the request could be read afterwards. Change: calls to instances of both front doors reset their connection when they are cancelled or fail; calls with an end of authority did so before.

--- a/src/engine_client.cpp
+++ b/src/engine_client.cpp
@@ -81,6 +81,7 @@
     // On a reused connection a late copy of an earlier refusal would be read as
     // the reply to this call.
     request.new_connection = true;
+    request.reset_when_given_up = true;
     request.body =
         std::make_shared<std::string const>(engine_call_to_text(call));
     http_call_handlers handlers;
--- a/src/http_call.cpp
+++ b/src/http_call.cpp
@@ -127,6 +127,8 @@
     body_ = request.body;
     not_after_ = request.not_after;
     send_by_ = request.send_by;
+    resets_when_given_up_ =
+        request.reset_when_given_up || request.not_after != instant::max();
     has_own_connection_ = request.new_connection;
     has_total_timeout_ = request.total_timeout.count() > 0;
     parser_ = std::make_unique<reply_parser>(
@@ -265,7 +267,7 @@
 
 void http_call::reset_on_close()
 {
-    if (!socket_ || not_after_ == instant::max())
+    if (!socket_ || !resets_when_given_up_)
     {
         return;
     }
--- a/src/http_call.hpp
+++ b/src/http_call.hpp
@@ -49,6 +49,9 @@
     /// The call ends as one that was not sent if its connection is not
     /// established before this time on the daemon's clock.
     instant send_by = instant::max();
+    /// Resets the connection when the call is cancelled or fails, so that bytes
+    /// which the kernel has yet to deliver do not arrive later.
+    bool reset_when_given_up = false;
     /// Uses a separate connection for this call, so that a late copy of an
     /// earlier reply cannot be taken for the reply to this one.
     bool new_connection = false;
@@ -152,6 +155,7 @@
     bool reuses_connection_ = false;
     bool connected_ = false;
     bool has_total_timeout_ = false;
+    bool resets_when_given_up_ = false;
     bool paused_ = false;
     bool ended_ = false;
 };
--- a/src/instance_client.cpp
+++ b/src/instance_client.cpp
@@ -56,6 +56,7 @@
     auto request = codec_.encode_call(call);
     request.connect_timeout = call.connect_timeout;
     request.send_by = call.send_by;
+    request.reset_when_given_up = true;
     request.new_connection = true;
     auto const shared = std::make_shared<proxy_call const>(call);
     http_call_handlers handlers;
--- a/src/service_client.cpp
+++ b/src/service_client.cpp
@@ -35,6 +35,7 @@
     // the reply to this call, and the server may close the connection while the
     // call is written to it, which leaves the outcome unknown.
     request.new_connection = true;
+    request.reset_when_given_up = true;
     if (!call.idempotency_key.empty())
     {
         request.headers = {{"Idempotency-Key", call.idempotency_key}};
