End the grace of missing rows before instances must be known to have left

Cause: a daemon that was cut off from the store finds a third or more of the rows missing and takes this for an outage in which live instances could not renew them. It used all of them until 2.2 s after it had itself noticed the return, up to 2.2 s late, and a read that was sent during the cut and failed after the return began the time anew. Instances that had ended without a word, or left just after the return, got requests later than 3 s after it. Change: the grace ends 0.2 s before the bound, counted from the start of the last read that failed, as the store may have returned any time after it; the directory is retried at most 0.75 s apart instead of 2.2 s; a failed read that began before the last answer says nothing about the store; a call to such an instance is not sent after its grace.

--- a/harness/proxy_fixture.cpp
+++ b/harness/proxy_fixture.cpp
@@ -1,5 +1,6 @@
 #include "proxy_fixture.hpp"
 
+#include "store_view_state.hpp"
 #include "tick.hpp"
 
 #include <algorithm>
@@ -172,6 +173,8 @@
     row_read_reply reply;
     reply.table = polled_table::instances;
     reply.full = false;
+    store_view_of(state).read_sent_at.at(
+        static_cast<std::size_t>(reply.table)) = state.now;
     state.in.row_read_replies.push_back(std::move(reply));
     tick_now();
 }
--- a/harness/proxy_fixture.hpp
+++ b/harness/proxy_fixture.hpp
@@ -48,7 +48,7 @@
     void instances_changed(std::vector<std::string> const &renewed,
                            std::vector<std::string> const &removed);
 
-    /// Supplies a failed read of the instances table.
+    /// Supplies a read of the instances table that begins and fails now.
     void store_fails();
 
     /// Supplies a request of a caller for the next tick.
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -48,6 +48,17 @@
 /// met; the time itself is derived from the excess of the predicted wait.
 constexpr duration min_retry_after = milliseconds(500);
 
+/// @return time before which a call to the instance must be sent, as far as it
+///         is limited
+std::optional<instant> valid_until(world const &w,
+                                   instance_state const &instance)
+{
+    auto const directory = directory_valid_until(w);
+    auto const &lapse = instance.expires_at;
+    return directory && lapse ? std::min(directory, lapse)
+                              : (directory ? directory : lapse);
+}
+
 proxy_call make_call(world const &w, proxy_request_state const &request,
                      instance_state const &instance,
                      instance_choice const &choice, attempt_number attempt,
@@ -67,7 +78,7 @@
     call.connect_timeout = std::min(remaining, max_connect_time);
     call.placed_at = w.now;
     call.directory_known_at = directory_known_at(w);
-    if (auto const until = directory_valid_until(w))
+    if (auto const until = valid_until(w, instance))
     {
         call.send_by = *until;
         call.connect_timeout = std::min(call.connect_timeout, *until - w.now);
--- a/src/poll_schedule.cpp
+++ b/src/poll_schedule.cpp
@@ -73,7 +73,9 @@
 {
     if (table == polled_table::instances)
     {
-        return failures == 1 ? instances_retry_timeout : instances_read_timeout;
+        return failures % retries_to_longer_timeout == 0
+                   ? instances_read_timeout
+                   : instances_retry_timeout;
     }
     return failures > 0 ? retry_timeout : store_read_timeout;
 }
--- a/src/poll_schedule.hpp
+++ b/src/poll_schedule.hpp
@@ -29,10 +29,15 @@
 /// duration of a read while the store is slow.
 constexpr duration instances_read_timeout = milliseconds(600);
 
-/// The same for the first retry, so that the daemon knows soon whether the
-/// store is away.
+/// The same for retries, so that the daemon knows soon whether the store is
+/// away and when it returns; slightly more than a read takes while the store is
+/// slow.
 constexpr duration instances_retry_timeout = milliseconds(300);
 
+/// Each retry of this number has the longer timeout again, in case the store is
+/// slower than expected.
+constexpr int retries_to_longer_timeout = 4;
+
 /// Back-off after a failed read; doubles with each consecutive failure.
 constexpr duration initial_read_backoff = milliseconds(150);
 
--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -21,12 +21,13 @@
 /// after an outage of the store.
 constexpr duration max_backoff = milliseconds(800);
 
-/// The longest back-off of a table that has not been read whole yet. With the
+/// The longest back-off of the instances, whose age is bounded, and of a table
+/// that has not been read whole yet. With the
 /// random factor, it and the timeout of a retried read end 1.5 s after the
 /// store answers again, so that the daemons of a fleet that starts meanwhile
 /// serve within 2 s. 300 daemons that are refused then make at most 3,000 calls
 /// a second, half of what the store takes.
-constexpr duration max_start_backoff = milliseconds(300);
+constexpr duration max_short_backoff = milliseconds(300);
 
 table_poll_state &poll_state_of(world &w, polled_table table)
 {
@@ -42,12 +43,15 @@
     return poll_schedule_of(w.proxy, table, restored);
 }
 
-duration backoff(world &w, table_poll_state const &poll_state)
+duration backoff(world &w, polled_table table,
+                 table_poll_state const &poll_state)
 {
     auto const exponential =
         initial_read_backoff * (1 << std::min(poll_state.failures - 1, 5));
     auto const capped = std::min(
-        exponential, poll_state.fully_read ? max_backoff : max_start_backoff);
+        exponential, poll_state.fully_read && table != polled_table::instances
+                         ? max_backoff
+                         : max_short_backoff);
     auto const factor =
         min_backoff_factor +
         (max_backoff_factor - min_backoff_factor) * w.random.uniform();
@@ -57,9 +61,21 @@
 void record_reachability(world &w, bool reachable, row_read_reply const &reply)
 {
     auto &store = w.proxy.store;
-    if (!reachable)
+    auto const sent_at =
+        store_view_of(w).read_sent_at.at(static_cast<std::size_t>(reply.table));
+    if (reachable)
+    {
+        store.answered_at = w.now;
+    }
+    else if (store.known && sent_at < store.answered_at)
+    {
+        // The store has answered since, so that its return is known already.
+        return;
+    }
+    else
     {
         store.failed_at = w.now;
+        store.away_at = std::max(store.away_at, sent_at);
     }
     if (std::exchange(store.known, true) && store.reachable == reachable)
     {
@@ -83,7 +99,7 @@
                     row_read_reply const &reply)
 {
     ++poll_state.failures;
-    poll_state.next_read = w.now + backoff(w, poll_state);
+    poll_state.next_read = w.now + backoff(w, reply.table, poll_state);
     record_reachability(w, false, reply);
 }
 
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -64,6 +64,10 @@
     instant changed_at{};
     /// Time of the last failed call.
     std::optional<instant> failed_at;
+    /// Latest start of a call that failed: the store was away at that time.
+    instant away_at{};
+    /// Time of the last answer.
+    instant answered_at{};
     /// Time of the first answer after a failure.
     instant restored_at{};
     /// Highest era that the store has named; 0 when it names none.
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -97,12 +97,22 @@
     remove_instance(w, id, instances_version(w));
 }
 
-/// @return true when the store has recovered within `missing_row_grace`, so
-///         that rows may be missing because they could not be renewed
-bool in_missing_row_grace(world const &w)
+/// @return time until which rows may be missing because they could not be
+///         renewed while the store was away, or away from this daemon only. It
+///         ends before the daemon must know which instances have left: the
+///         store may have returned any time after the last call that failed
+///         began.
+instant missing_row_grace_end(world const &w)
 {
     auto const &store = w.proxy.store;
-    return store.failed_at && w.now < store.restored_at + missing_row_grace;
+    return std::min(store.restored_at + missing_row_grace,
+                    store.away_at + w.proxy.limits.reconnect_bound -
+                        delivery_time);
+}
+
+bool in_missing_row_grace(world const &w)
+{
+    return w.proxy.store.failed_at && w.now < missing_row_grace_end(w);
 }
 
 void handle_missing_row(world &w, std::string const &id, bool outage)
@@ -117,11 +127,10 @@
         remove_instance(w, id);
         return;
     }
-    auto const &store = w.proxy.store;
-    instance->expires_at =
-        std::max(store.restored_at,
-                 store_view_of(w).era_changed_at.value_or(store.restored_at)) +
-        missing_row_grace;
+    auto const era_changed_at = store_view_of(w).era_changed_at;
+    instance->expires_at = std::max(
+        missing_row_grace_end(w),
+        era_changed_at ? *era_changed_at + missing_row_grace : instant{});
     log_instance(w, "instance_lapsed", *instance);
 }
 
--- a/test/correctness/leave_bound_test.cpp
+++ b/test/correctness/leave_bound_test.cpp
@@ -30,6 +30,7 @@
     {
         daemon_.state.random = random_source(seed + 1);
         daemon_.state.proxy.limits.drain_bound = bound;
+        daemon_.state.proxy.limits.reconnect_bound = bound + seconds(1);
         for (int i = 1; i <= instance_count; ++i)
         {
             add_instance(i);
@@ -42,11 +43,36 @@
     ///         request at that instance
     duration latest_arrival()
     {
-        auto const end = daemon_.state.now + play_time;
-        while (daemon_.state.now < end)
+        play_until(daemon_.state.now + play_time);
+        return latest_;
+    }
+
+    /// Cuts the daemon off from the store; half of the instances end meanwhile
+    /// without announcing it. The other half serves on.
+    ///
+    /// @return longest time from the end of the cut to the arrival of a request
+    ///         at an instance that has ended
+    duration latest_arrival_after_cut()
+    {
+        next_leave_ = instant::max();
+        loses_answers_ = false;
+        auto const cut_begins_at =
+            daemon_.state.now + random_time(seconds(3), seconds(4));
+        cut_ends_at_ =
+            cut_begins_at + random_time(milliseconds(5500), seconds(8));
+        play_until(cut_begins_at);
+        cut_off_ = true;
+        play_until(cut_begins_at + seconds(2));
+        for (int i = 0; i < instance_count / 2; ++i)
         {
-            step();
+            auto &item = std::next(rows_.begin(), 2 * i)->second;
+            item.removed = true;
+            item.version = ++version_;
+            left_at_[item.definition.id] = cut_ends_at_;
         }
+        play_until(cut_ends_at_);
+        cut_off_ = false;
+        play_until(cut_ends_at_ + seconds(10));
         return latest_;
     }
 
@@ -58,6 +84,7 @@
     {
         instance_definition definition;
         std::uint64_t version = 0;
+        bool removed = false;
     };
 
     struct pending_reply
@@ -72,6 +99,14 @@
         proxy_call call;
     };
 
+    void play_until(instant end)
+    {
+        while (daemon_.state.now < end)
+        {
+            step();
+        }
+    }
+
     void add_instance(int number)
     {
         instance_definition item;
@@ -129,12 +164,15 @@
         {
             for (auto const &[id, item] : rows_)
             {
-                if (read.full || item.version > read.after_version)
+                bool const changed = item.version > read.after_version;
+                if (item.removed ? !read.full && changed : read.full || changed)
                 {
                     reply.instances.push_back(
                         {id, item.version,
-                         std::make_shared<instance_definition const>(
-                             item.definition),
+                         item.removed
+                             ? nullptr
+                             : std::make_shared<instance_definition const>(
+                                   item.definition),
                          false});
                 }
             }
@@ -150,7 +188,7 @@
             daemon_.state.now + transit + read.long_poll_wait + transit;
         // A lost answer is followed by one that is not lost.
         auto &lost = lost_[read.table];
-        lost = !lost && happens(0.3);
+        lost = cut_off_ || (loses_answers_ && !lost && happens(0.3));
         if (lost)
         {
             reply = {};
@@ -245,6 +283,9 @@
     std::vector<pending_reply> replies_;
     std::vector<pending_connect> connects_;
     instant next_leave_{};
+    instant cut_ends_at_{};
+    bool cut_off_ = false;
+    bool loses_answers_ = true;
     instant next_request_{};
     std::map<polled_table, bool> lost_;
     duration latest_{};
@@ -264,4 +305,19 @@
     }
 }
 
+TEST(leave_bound, instances_that_ended_behind_a_cut_get_no_request_after_it)
+{
+    for (auto const bound : {seconds(2), seconds(3)})
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed)
+        {
+            leaving_play play(seed, bound);
+            EXPECT_LE(play.latest_arrival_after_cut(),
+                      duration(bound + seconds(1)))
+                << "seed " << seed;
+            EXPECT_GT(play.arrivals, 300) << "seed " << seed;
+        }
+    }
+}
+
 } // namespace
--- a/test/correctness/proxy_directory_test.cpp
+++ b/test/correctness/proxy_directory_test.cpp
@@ -73,8 +73,12 @@
 {
     proxy_fixture daemon;
     daemon.list_engines(6, engine_role::decode);
-    daemon.store_fails();
-    daemon.advance(seconds(3));
+    // Reads fail until the store returns.
+    for (int i = 0; i < 6; ++i)
+    {
+        daemon.store_fails();
+        daemon.advance(milliseconds(500));
+    }
     daemon.instances_changed({}, engine_ids(1, 6));
     daemon.advance(milliseconds(1500));
     EXPECT_TRUE(listed(daemon, "decode-1"));
