--- a/test/error/late_call_test.cpp
+++ b/test/error/late_call_test.cpp
@@ -67,7 +67,9 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(socket_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        EXPECT_EQ(::bind(socket_, reinterpret_cast<sockaddr *>(&address),
+                         sizeof address),
+                  0);
         listen(socket_, 1);
         socklen_t size = sizeof address;
         getsockname(socket_, reinterpret_cast<sockaddr *>(&address), &size);
--- a/test/error/reset_during_upload_test.cpp
+++ b/test/error/reset_during_upload_test.cpp
@@ -38,7 +38,9 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        EXPECT_EQ(::bind(listener_, reinterpret_cast<sockaddr *>(&address),
+                         sizeof address),
+                  0);
         listen(listener_, 1);
         socklen_t size = sizeof address;
         getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
