State no factor of the cost of chunks that was not measured

Cause: two comments gave factors that no run had shown, and one gave the time of a retransmission where the first timeout is meant. Change: the comments name the reason without the factor.

--- a/src/exchange_server.hpp
+++ b/src/exchange_server.hpp
@@ -28,8 +28,8 @@
 constexpr duration reader_timeout = seconds(30);
 
 /// Part of the time after which a body counts as stalled; a body that has
-/// received nothing for so long is idle. By default 250 ms, which is more than
-/// a retransmission takes.
+/// received nothing for so long is idle. By default 250 ms, longer than the
+/// first retransmission timeout of TCP.
 constexpr int idle_share_of_stall = 8;
 
 /// HTTP server of one listener. Keeps an `Exchange` for each request, from its
--- a/src/guarded_stream.cpp
+++ b/src/guarded_stream.cpp
@@ -25,9 +25,8 @@
 constexpr std::size_t max_burst_bytes = std::size_t{64} * 1024;
 
 /// Share of the time in which the chunks of request bodies are parsed, and the
-/// time for which they are parsed at once. A body in chunks of one byte costs a
-/// hundred times as much as others; heads, answers and bodies with a length
-/// have the rest.
+/// time for which they are parsed at once. Bodies in chunks of a few bytes cost
+/// many times as much as others; the rest of the time is for everything else.
 constexpr double chunk_parsing_share = 0.5;
 constexpr duration chunk_parsing_burst = milliseconds(5);
 
--- a/src/request_framing.hpp
+++ b/src/request_framing.hpp
@@ -13,7 +13,7 @@
 /// passed on once they are known to be well formed, so that a lenient parser
 /// behind this one finds the same requests. The chunks that are received at
 /// once are passed on as one, without extensions and trailers, because the
-/// parser behind takes thirty times as long for a chunk as this one.
+/// parser behind takes longer for each chunk than this one.
 class request_framing
 {
 public:
