Report the end of a connection within a request body as an error

Cause: libsoup takes the end of the connection between two chunks for the end of the body; the daemon relies on noticing first that the client has left. Evidence: unfinished_body.its_end_is_an_error_of_the_connection failed before at all five places. Change: the guarded stream reports such an end as an error, for bodies with a length too.

--- a/src/guarded_stream.cpp
+++ b/src/guarded_stream.cpp
@@ -117,6 +117,14 @@
             auto const count =
                 g_pollable_stream_read(input(), bytes.data(), bytes.size(),
                                        blocking, cancellable, error);
+            if (count == 0 && framing.in_body())
+            {
+                // libsoup would take an end between two chunks for the end of
+                // the body.
+                g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_PARTIAL_INPUT,
+                                    "the connection ended within a body");
+                return -1;
+            }
             if (count <= 0)
             {
                 burst_bytes = 0;
--- a/src/request_framing.cpp
+++ b/src/request_framing.cpp
@@ -92,9 +92,14 @@
 
 request_framing::~request_framing() = default;
 
+bool request_framing::in_body() const
+{
+    return message_->is_header_done();
+}
+
 bool request_framing::in_chunks() const
 {
-    return message_->is_header_done() && message_->chunked();
+    return in_body() && message_->chunked();
 }
 
 std::size_t request_framing::skip_blank_lines(std::string_view bytes) const
--- a/src/request_framing.hpp
+++ b/src/request_framing.hpp
@@ -44,6 +44,9 @@
         return head_.size() + pending_.size();
     }
 
+    /// @return true while a body is being received
+    bool in_body() const;
+
     /// @return true while a chunked body is being received
     bool in_chunks() const;
 
