Log which answer or report a change of the directory comes from

Daemons of a fleet were seen to know different instances for good, and to call instances that had left. No log line told which answer or report had listed or removed an instance, up to which version the view was complete, or whether a call was placed by a directory older than the drain bound allows.

`instance_*` events now name their source and the version of the view, `request_placed` tells whether the directory is overdue, and an answer that is older than what was known when it was read is logged and counted.

--- a/src/directory_age.cpp
+++ b/src/directory_age.cpp
@@ -54,6 +54,13 @@
                                              : std::nullopt;
 }
 
+bool is_directory_overdue(world const &w)
+{
+    auto const known_at = directory_known_at(w);
+    return known_at && !directory_valid_until(w) &&
+           *known_at + w.proxy.limits.drain_bound - delivery_time <= w.now;
+}
+
 bool awaits_directory(world const &w)
 {
     auto const until = directory_valid_until(w);
--- a/src/directory_age.hpp
+++ b/src/directory_age.hpp
@@ -21,6 +21,10 @@
 ///         directory has become too old while the store does not answer
 std::optional<instant> directory_valid_until(world const &w);
 
+/// @return true when calls go out by a directory that is older than the drain
+///         bound allows, as the store does not answer
+bool is_directory_overdue(world const &w);
+
 /// @return true when the directory is too old to place requests by, and the
 ///         answer to a read of it is due soon
 bool awaits_directory(world const &w);
--- a/src/follow_store_era.cpp
+++ b/src/follow_store_era.cpp
@@ -64,6 +64,8 @@
         return;
     }
     store_view_of(w).era_changed_at = w.now;
+    store_view_of(w).newest_version = 0;
+    store_view_of(w).read_newest_versions = {};
     restart_reads(w);
     w.proxy.next_daemon_row = w.now;
     log_proxied_request(
--- a/src/place_proxied_requests.cpp
+++ b/src/place_proxied_requests.cpp
@@ -113,12 +113,15 @@
                       instance_choice const &choice)
 {
     auto const &prediction = choice.prediction;
+    bool const overdue = is_directory_overdue(w);
+    w.proxy.metrics.overdue_placements += overdue ? 1 : 0;
     buffer_request_log(
         w, request, "request_placed",
         {{"instance", choice.instance},
          {"stage", choice.stage == proxy_stage::prefill ? "prefill" : "run"},
          {"row_version", std::to_string(instance.row_version)},
          {"directory_age_ms", directory_age_text(w)},
+         {"directory_overdue", overdue ? "true" : "false"},
          {"predicted_ms", milliseconds_text(prediction.time)},
          {"wait_ms", milliseconds_text(prediction.wait)},
          {"unread_tokens", std::to_string(prediction.unread_tokens)},
--- a/src/proxy_metrics.hpp
+++ b/src/proxy_metrics.hpp
@@ -34,6 +34,8 @@
     std::uint64_t leave_announcements = 0;
     /// Requests that waited for a read of the directory.
     std::uint64_t directory_waits = 0;
+    /// Calls placed by a directory that is older than the drain bound allows.
+    std::uint64_t overdue_placements = 0;
     /// Pauses that instances asked for.
     std::uint64_t instance_pauses = 0;
     /// Request limits that instances began to name.
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -140,6 +140,8 @@
                 static_cast<double>(metrics.leave_announcements));
     write_value(out, "directory_waits_total", "counter",
                 static_cast<double>(metrics.directory_waits));
+    write_value(out, "overdue_placements_total", "counter",
+                static_cast<double>(metrics.overdue_placements));
     write_value(out, "instance_pauses_total", "counter",
                 static_cast<double>(metrics.instance_pauses));
     write_value(out, "request_limits_total", "counter",
@@ -187,6 +189,8 @@
         write_counters(out, "store_view_reports_total", "result",
                        view->report_counts);
         write_counters(out, "store_reads_total", "purpose", view->read_counts);
+        write_counters(out, "store_older_answers_total", "table",
+                       view->older_answers);
         write_counters(out, "neighbour_configurations_total", "result",
                        view->fetch_counts);
         write_value(out, "store_reader", "gauge", view->is_reader ? 1 : 0);
--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -274,6 +274,7 @@
         apply_configuration_version(w, report, instant{});
         return "other_era";
     }
+    view.newest_version = std::max(view.newest_version, report.version);
     auto const arrived_after = delay.value_or(duration(0));
     apply_configuration_version(
         w, report,
@@ -576,6 +577,7 @@
     auto &view = store_view_of(w);
     auto const i = index_of(read.table);
     view.read_eras.at(i) = w.proxy.store.era;
+    view.read_newest_versions.at(i) = view.newest_version;
     if (read.after_key.empty())
     {
         // A table that is read page by page is as old as its first page.
@@ -591,6 +593,18 @@
     auto &view = store_view_of(w);
     auto const i = index_of(reply.table);
     auto const sent_at = view.read_sent_at.at(i);
+    auto const newest = view.read_newest_versions.at(i);
+    if (reply.version < newest)
+    {
+        ++view.older_answers[std::string(name_of(reply.table))];
+        log_proxied_request(w, log_level::warning, "store_answer_older",
+                            {{"table", std::string(name_of(reply.table))},
+                             {"full", reply.full ? "true" : "false"},
+                             {"version", std::to_string(reply.version)},
+                             {"newest_version", std::to_string(newest)},
+                             {"rows", std::to_string(reply.instances.size())}});
+    }
+    view.newest_version = std::max(view.newest_version, reply.version);
     // The store ends a long poll without changes at the end of the wait.
     bool const held_to_end = reply.table == polled_table::configuration &&
                              !reply.configuration &&
--- a/src/store_view_state.hpp
+++ b/src/store_view_state.hpp
@@ -100,6 +100,13 @@
     std::array<duration, polled_table_count> read_waits{};
     /// This daemon reads the store for the others of its data centre.
     bool is_reader = false;
+    /// Highest version of the present era in answers and reports.
+    std::uint64_t newest_version = 0;
+    /// The same when the read in flight, or the last one, was sent, by table.
+    std::array<std::uint64_t, polled_table_count> read_newest_versions{};
+    /// Answers that were older than what was known when the read was sent, by
+    /// table.
+    std::map<std::string, std::uint64_t> older_answers;
     /// Version of the instances before the changes of this tick.
     std::uint64_t step_base = 0;
     std::vector<view_step> steps;
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -30,6 +30,9 @@
 /// row means that the instance was removed.
 constexpr double min_missing_share_in_outage = 1.0 / 3;
 
+/// Source of changes that another daemon told of, for the log.
+constexpr char const *report_source = "report";
+
 /// @return numbers of accounts and keys, for the log; none when the
 ///         configuration has no accounts
 log_fields account_fields(routing_configuration const &config)
@@ -58,7 +61,17 @@
     }
 }
 
-void log_instance(world &w, std::string event, instance_state const &instance)
+/// @return version up to which changes of the instances have been read
+std::uint64_t instances_version(world const &w)
+{
+    return w.proxy.table_polls
+        .at(static_cast<std::size_t>(polled_table::instances))
+        .version;
+}
+
+/// @param source what told of the change
+void log_instance(world &w, std::string event, instance_state const &instance,
+                  std::string const &source)
 {
     auto const &definition = instance.definition;
     log_proxied_request(
@@ -69,32 +82,27 @@
          {"data_centre", definition.data_centre},
          {"role", std::string(name_of(definition.role))},
          {"accepts_work", definition.accepts_work ? "true" : "false"},
-         {"row_version", std::to_string(instance.row_version)}});
-}
-
-/// @return version up to which changes of the instances have been read
-std::uint64_t instances_version(world const &w)
-{
-    return w.proxy.table_polls
-        .at(static_cast<std::size_t>(polled_table::instances))
-        .version;
+         {"row_version", std::to_string(instance.row_version)},
+         {"view_version", std::to_string(instances_version(w))},
+         {"source", source}});
 }
 
 /// @param version version as of which the instance is gone
-void remove_instance(world &w, std::string const &id, std::uint64_t version)
+void remove_instance(world &w, std::string const &id, std::uint64_t version,
+                     std::string const &source)
 {
     auto const *instance = w.proxy.instances.find(id);
     if (instance != nullptr)
     {
-        log_instance(w, "instance_gone", *instance);
+        log_instance(w, "instance_gone", *instance, source);
         w.proxy.instances.erase(id);
         record_instance_change(w, id, version, std::nullopt);
     }
 }
 
-void remove_instance(world &w, std::string const &id)
+void remove_instance(world &w, std::string const &id, std::string const &source)
 {
-    remove_instance(w, id, instances_version(w));
+    remove_instance(w, id, instances_version(w), source);
 }
 
 /// @return time until which rows may be missing because they could not be
@@ -115,7 +123,8 @@
     return w.proxy.store.failed_at && w.now < missing_row_grace_end(w);
 }
 
-void handle_missing_row(world &w, std::string const &id, bool outage)
+void handle_missing_row(world &w, std::string const &id, bool outage,
+                        std::string const &source)
 {
     auto *instance = w.proxy.instances.find(id);
     if (instance == nullptr || instance->expires_at)
@@ -124,20 +133,21 @@
     }
     if (!outage || !instance->definition.accepts_work)
     {
-        remove_instance(w, id);
+        remove_instance(w, id, source);
         return;
     }
     auto const era_changed_at = store_view_of(w).era_changed_at;
     instance->expires_at = std::max(
         missing_row_grace_end(w),
         era_changed_at ? *era_changed_at + missing_row_grace : instant{});
-    log_instance(w, "instance_lapsed", *instance);
+    log_instance(w, "instance_lapsed", *instance, source);
 }
 
 /// Handles instances whose rows are missing. If many are missing just after an
 /// outage of the store, their rows have probably expired, and they are kept for
 /// a grace period; otherwise they are removed.
-void handle_missing_rows(world &w, std::vector<std::string> const &ids)
+void handle_missing_rows(world &w, std::vector<std::string> const &ids,
+                         std::string const &source)
 {
     auto const &all = w.proxy.instances.all();
     auto const expiring =
@@ -149,11 +159,12 @@
         in_era_grace(w) || (in_missing_row_grace(w) &&
                             missing >= min_missing_share_in_outage *
                                            static_cast<double>(all.size()));
-    std::ranges::for_each(ids, [&w, outage](std::string const &id)
-                          { handle_missing_row(w, id, outage); });
+    std::ranges::for_each(ids, [&w, outage, &source](std::string const &id)
+                          { handle_missing_row(w, id, outage, source); });
 }
 
-void apply_instance_row(world &w, instance_row const &row)
+void apply_instance_row(world &w, instance_row const &row,
+                        std::string const &source)
 {
     auto const *known = w.proxy.instances.find(row.id);
     if (known != nullptr && known->row_version > row.row_version)
@@ -165,7 +176,7 @@
         log_proxied_request(w, log_level::warning, "instance_unreadable",
                             {{"instance", row.id},
                              {"row_version", std::to_string(row.row_version)}});
-        remove_instance(w, row.id);
+        remove_instance(w, row.id, source);
         return;
     }
     auto const definition = without_reverted_drain(w, *row.instance);
@@ -190,7 +201,7 @@
         record_instance_change(w, row.id, row.row_version, definition);
         log_instance(
             w, definition.accepts_work ? "instance_listed" : "instance_leaving",
-            state);
+            state, source);
     }
 }
 
@@ -212,12 +223,13 @@
 
 void apply_instance_rows(world &w, row_read_reply const &reply)
 {
+    std::string const source = reply.full ? "full_read" : "changes";
     std::vector<std::string> missing;
     for (auto const &row : reply.instances)
     {
         if (row.instance || row.unreadable)
         {
-            apply_instance_row(w, row);
+            apply_instance_row(w, row, source);
             continue;
         }
         missing.push_back(row.id);
@@ -232,7 +244,7 @@
             missing = missing_from(w, std::exchange(listed, {}));
         }
     }
-    handle_missing_rows(w, missing);
+    handle_missing_rows(w, missing, source);
 }
 
 void apply_daemon_rows(world &w, row_read_reply const &reply)
@@ -291,7 +303,7 @@
         wake_at(w, *state.expires_at);
     }
     std::ranges::for_each(expired, [&w](std::string const &id)
-                          { remove_instance(w, id); });
+                          { remove_instance(w, id, "grace_end"); });
 }
 
 void remove_expired_daemons(world &w)
@@ -338,13 +350,13 @@
 {
     if (row.instance)
     {
-        apply_instance_row(w, row);
+        apply_instance_row(w, row, report_source);
         return;
     }
     auto const *known = w.proxy.instances.find(row.id);
     if (known != nullptr && known->row_version <= row.row_version)
     {
-        remove_instance(w, row.id, row.row_version);
+        remove_instance(w, row.id, row.row_version, report_source);
     }
 }
 
