Apply rows of instances in the order of their versions

Callers saw requests fail at engines that had ended, and engines that served stood idle at some daemons: the daemons of a fleet listed different instances for good.

Cause: a read returns the changes in order, but all removals were applied after all rows, whatever their versions. A removal left no version behind, so that an older row, from a read that a report had overtaken, listed the instance again, which no later read took back. And a removal was passed on with the newest version read, so that its report beat a row written later.

A row now counts only if it is newer than what is known of its instance. A removal is kept with its own version, and a full read stands for the removal of all instances that it lacks. This makes the order of answers and reports irrelevant, instead of closing one race.

--- a/src/follow_store_era.cpp
+++ b/src/follow_store_era.cpp
@@ -37,7 +37,12 @@
                           });
     w.proxy.listed_instances.clear();
     std::ranges::for_each(w.proxy.instances.all(),
-                          [](auto &item) { item.second.row_version = 0; });
+                          [](auto &item)
+                          {
+                              item.second.row_version = 0;
+                              item.second.missing_as_of = 0;
+                          });
+    store_view_of(w).removed.clear();
 }
 
 } // namespace
--- a/src/instance_table.cpp
+++ b/src/instance_table.cpp
@@ -59,6 +59,7 @@
     state.definition = definition;
     state.row_version = row_version;
     state.expires_at.reset();
+    state.missing_as_of = 0;
     state.address_reused = false;
     if (added)
     {
--- a/src/instance_table.hpp
+++ b/src/instance_table.hpp
@@ -70,6 +70,9 @@
     /// Set when the row disappeared around an outage of the store: the instance
     /// stays in use until this time unless the row is listed again.
     std::optional<instant> expires_at;
+    /// Version of the store as of which the row is missing, while `expires_at`
+    /// is set.
+    std::uint64_t missing_as_of = 0;
     /// Set when another instance replied from this address; reset when the row
     /// changes.
     bool address_reused = false;
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -191,6 +191,8 @@
         write_counters(out, "store_reads_total", "purpose", view->read_counts);
         write_counters(out, "store_older_answers_total", "table",
                        view->older_answers);
+        write_value(out, "older_rows_total", "counter",
+                    static_cast<double>(view->older_rows));
         write_counters(out, "neighbour_configurations_total", "result",
                        view->fetch_counts);
         write_value(out, "store_reader", "gauge", view->is_reader ? 1 : 0);
--- a/src/store_view_state.hpp
+++ b/src/store_view_state.hpp
@@ -2,6 +2,7 @@
 #define AGATELEDGE_STORE_VIEW_STATE_HPP
 
 #include "incarnation_deadlines.hpp"
+#include "removed_rows.hpp"
 #include "row_messages.hpp"
 #include "store_view_report.hpp"
 #include "time.hpp"
@@ -90,6 +91,10 @@
     /// Incarnations whose rows announced that they drain. A copy of the store
     /// may show them as ready again.
     incarnation_deadlines drained;
+    /// Instances that had rows, and have none.
+    removed_rows removed;
+    /// Rows that were older than the known state of their instances.
+    std::uint64_t older_rows = 0;
     /// Time as of which each table is known, from own reads and from reports.
     std::array<instant, polled_table_count> known_at{};
     /// The same from reports alone. Without reports, a daemon keeps the
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -61,12 +61,10 @@
     }
 }
 
-/// @return version up to which changes of the instances have been read
-std::uint64_t instances_version(world const &w)
+table_poll_state const &instances_poll(world const &w)
 {
-    return w.proxy.table_polls
-        .at(static_cast<std::size_t>(polled_table::instances))
-        .version;
+    return w.proxy.table_polls.at(
+        static_cast<std::size_t>(polled_table::instances));
 }
 
 /// @param source what told of the change
@@ -83,26 +81,31 @@
          {"role", std::string(name_of(definition.role))},
          {"accepts_work", definition.accepts_work ? "true" : "false"},
          {"row_version", std::to_string(instance.row_version)},
-         {"view_version", std::to_string(instances_version(w))},
+         {"view_version", std::to_string(instances_poll(w).version)},
          {"source", source}});
 }
 
-/// @param version version as of which the instance is gone
+/// Removes the instance, unless its row is newer than that.
+///
+/// @param version version as of which the instance has no row
 void remove_instance(world &w, std::string const &id, std::uint64_t version,
                      std::string const &source)
 {
     auto const *instance = w.proxy.instances.find(id);
-    if (instance != nullptr)
+    if (instance == nullptr)
     {
-        log_instance(w, "instance_gone", *instance, source);
-        w.proxy.instances.erase(id);
-        record_instance_change(w, id, version, std::nullopt);
+        store_view_of(w).removed.record(id, version);
+        return;
     }
-}
-
-void remove_instance(world &w, std::string const &id, std::string const &source)
-{
-    remove_instance(w, id, instances_version(w), source);
+    if (instance->row_version > version)
+    {
+        ++store_view_of(w).older_rows;
+        return;
+    }
+    store_view_of(w).removed.record(id, version);
+    log_instance(w, "instance_gone", *instance, source);
+    w.proxy.instances.erase(id);
+    record_instance_change(w, id, version, std::nullopt);
 }
 
 /// @return time until which rows may be missing because they could not be
@@ -123,17 +126,31 @@
     return w.proxy.store.failed_at && w.now < missing_row_grace_end(w);
 }
 
-void handle_missing_row(world &w, std::string const &id, bool outage,
+/// An instance whose row is missing.
+struct missing_row
+{
+    std::string id;
+    /// Version as of which it is missing.
+    std::uint64_t version = 0;
+};
+
+void handle_missing_row(world &w, missing_row const &row, bool outage,
                         std::string const &source)
 {
-    auto *instance = w.proxy.instances.find(id);
-    if (instance == nullptr || instance->expires_at)
+    auto *instance = w.proxy.instances.find(row.id);
+    if (instance == nullptr || !outage || !instance->definition.accepts_work)
+    {
+        remove_instance(w, row.id, row.version, source);
+        return;
+    }
+    if (instance->row_version > row.version)
     {
+        ++store_view_of(w).older_rows;
         return;
     }
-    if (!outage || !instance->definition.accepts_work)
+    instance->missing_as_of = std::max(instance->missing_as_of, row.version);
+    if (instance->expires_at)
     {
-        remove_instance(w, id, source);
         return;
     }
     auto const era_changed_at = store_view_of(w).era_changed_at;
@@ -146,7 +163,7 @@
 /// Handles instances whose rows are missing. If many are missing just after an
 /// outage of the store, their rows have probably expired, and they are kept for
 /// a grace period; otherwise they are removed.
-void handle_missing_rows(world &w, std::vector<std::string> const &ids,
+void handle_missing_rows(world &w, std::vector<missing_row> const &rows,
                          std::string const &source)
 {
     auto const &all = w.proxy.instances.all();
@@ -154,21 +171,34 @@
         std::ranges::count_if(all, [](auto const &item)
                               { return item.second.expires_at.has_value(); });
     auto const missing =
-        static_cast<double>(ids.size()) + static_cast<double>(expiring);
+        static_cast<double>(rows.size()) + static_cast<double>(expiring);
     bool const outage =
         in_era_grace(w) || (in_missing_row_grace(w) &&
                             missing >= min_missing_share_in_outage *
                                            static_cast<double>(all.size()));
-    std::ranges::for_each(ids, [&w, outage, &source](std::string const &id)
-                          { handle_missing_row(w, id, outage, source); });
+    std::ranges::for_each(rows, [&w, outage, &source](missing_row const &row)
+                          { handle_missing_row(w, row, outage, source); });
+}
+
+/// @return true when the row is at least as new as what is known of its
+///         instance
+bool is_current(world const &w, instance_row const &row)
+{
+    auto const *known = w.proxy.instances.find(row.id);
+    if (known == nullptr)
+    {
+        return row.row_version > w.proxy.store_view->removed.version_of(row.id);
+    }
+    return known->expires_at ? row.row_version > known->missing_as_of
+                             : row.row_version >= known->row_version;
 }
 
 void apply_instance_row(world &w, instance_row const &row,
                         std::string const &source)
 {
-    auto const *known = w.proxy.instances.find(row.id);
-    if (known != nullptr && known->row_version > row.row_version)
+    if (!is_current(w, row))
     {
+        ++store_view_of(w).older_rows;
         return;
     }
     if (!row.instance)
@@ -176,9 +206,10 @@
         log_proxied_request(w, log_level::warning, "instance_unreadable",
                             {{"instance", row.id},
                              {"row_version", std::to_string(row.row_version)}});
-        remove_instance(w, row.id, source);
+        remove_instance(w, row.id, row.row_version, source);
         return;
     }
+    auto const *known = w.proxy.instances.find(row.id);
     auto const definition = without_reverted_drain(w, *row.instance);
     bool const changed = known == nullptr || known->expires_at ||
                          known->definition != definition;
@@ -205,17 +236,19 @@
     }
 }
 
-/// @return ids of the known instances that a full read did not return
-std::vector<std::string> missing_from(world const &w,
-                                      std::vector<std::string> const &listed)
+/// @param version version of the read
+/// @return the known instances that a full read did not return
+std::vector<missing_row> missing_from(world const &w,
+                                      std::vector<std::string> const &listed,
+                                      std::uint64_t version)
 {
     std::set<std::string> const present(listed.begin(), listed.end());
-    std::vector<std::string> missing;
+    std::vector<missing_row> missing;
     for (auto const &[id, state] : w.proxy.instances.all())
     {
         if (!present.contains(id))
         {
-            missing.push_back(id);
+            missing.push_back({id, version});
         }
     }
     return missing;
@@ -224,7 +257,7 @@
 void apply_instance_rows(world &w, row_read_reply const &reply)
 {
     std::string const source = reply.full ? "full_read" : "changes";
-    std::vector<std::string> missing;
+    std::vector<missing_row> missing;
     for (auto const &row : reply.instances)
     {
         if (row.instance || row.unreadable)
@@ -232,19 +265,25 @@
             apply_instance_row(w, row, source);
             continue;
         }
-        missing.push_back(row.id);
+        missing.push_back({row.id, row.row_version});
     }
+    auto &listed = w.proxy.listed_instances;
     if (reply.full)
     {
-        auto &listed = w.proxy.listed_instances;
         std::ranges::transform(reply.instances, std::back_inserter(listed),
                                &instance_row::id);
-        if (!reply.truncated)
-        {
-            missing = missing_from(w, std::exchange(listed, {}));
-        }
+    }
+    bool const whole = reply.full && !reply.truncated;
+    auto const version = instances_poll(w).first_page_version;
+    if (whole)
+    {
+        missing = missing_from(w, std::exchange(listed, {}), version);
     }
     handle_missing_rows(w, missing, source);
+    if (whole)
+    {
+        store_view_of(w).removed.record_others(version);
+    }
 }
 
 void apply_daemon_rows(world &w, row_read_reply const &reply)
@@ -288,7 +327,7 @@
 
 void remove_expired_instances(world &w)
 {
-    std::vector<std::string> expired;
+    std::vector<missing_row> expired;
     for (auto const &[id, state] : w.proxy.instances.all())
     {
         if (!state.expires_at)
@@ -297,13 +336,14 @@
         }
         if (*state.expires_at <= w.now)
         {
-            expired.push_back(id);
+            expired.push_back({id, state.missing_as_of});
             continue;
         }
         wake_at(w, *state.expires_at);
     }
-    std::ranges::for_each(expired, [&w](std::string const &id)
-                          { remove_instance(w, id, "grace_end"); });
+    std::ranges::for_each(
+        expired, [&w](missing_row const &row)
+        { remove_instance(w, row.id, row.version, "grace_end"); });
 }
 
 void remove_expired_daemons(world &w)
@@ -353,11 +393,7 @@
         apply_instance_row(w, row, report_source);
         return;
     }
-    auto const *known = w.proxy.instances.find(row.id);
-    if (known != nullptr && known->row_version <= row.row_version)
-    {
-        remove_instance(w, row.id, row.row_version, report_source);
-    }
+    remove_instance(w, row.id, row.row_version, report_source);
 }
 
 void update_directory(world &w)
