Report every row that was written or removed between two versions

Callers saw requests reach engines that had left, from a daemon that read the store all the time.

Cause: a report says that it leads from one version of the instances to another, and its receiver reads on from the latter. But it left out removals that its sender kept in a grace after an outage, and rows that were written again without a change that mattered to the sender. A receiver that knew less, or had seen a removal in between, missed them for good, with a view that was recent by its age.

Each written or removed row is now part of the report. Whether a missing row gets a grace is each daemon's own decision, also while the store does not answer it.

--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -174,19 +174,6 @@
     poll_state.confirmed_at = std::max(poll_state.confirmed_at, as_of);
 }
 
-void apply_change(world &w, reported_instance const &change)
-{
-    instance_row row;
-    row.id = change.id;
-    row.row_version = change.row_version;
-    if (change.definition)
-    {
-        row.instance =
-            std::make_shared<instance_definition const>(*change.definition);
-    }
-    apply_reported_row(w, row);
-}
-
 /// Takes over the instances of a report if it continues this daemon's view.
 ///
 /// @param as_of time as of which the report is valid
@@ -206,9 +193,7 @@
     {
         view.step_base = poll_state.version;
         view.steps.push_back({poll_state.version, w.now});
-        std::ranges::for_each(report.changes,
-                              [&w](reported_instance const &change)
-                              { apply_change(w, change); });
+        apply_reported_rows(w, report.changes);
         poll_state.version = report.version;
         view.step_base = report.version;
     }
--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -116,7 +116,8 @@
 instant missing_row_grace_end(world const &w)
 {
     auto const &store = w.proxy.store;
-    return std::min(store.restored_at + missing_row_grace,
+    auto const restored_at = store.reachable ? store.restored_at : w.now;
+    return std::min(restored_at + missing_row_grace,
                     store.away_at + w.proxy.limits.reconnect_bound -
                         delivery_time);
 }
@@ -158,6 +159,8 @@
         missing_row_grace_end(w),
         era_changed_at ? *era_changed_at + missing_row_grace : instant{});
     log_instance(w, "instance_lapsed", *instance, source);
+    // Others decide on a grace of their own.
+    record_instance_change(w, row.id, row.version, std::nullopt);
 }
 
 /// Handles instances whose rows are missing. If many are missing just after an
@@ -213,6 +216,8 @@
     auto const definition = without_reverted_drain(w, *row.instance);
     bool const changed = known == nullptr || known->expires_at ||
                          known->definition != definition;
+    bool const written =
+        known == nullptr || known->row_version != row.row_version;
     bool const role_changed =
         known != nullptr && known->definition.role != definition.role;
     if (!definition.accepts_work && definition.started_at_ms != 0)
@@ -227,9 +232,13 @@
         state.closed_until = instant{};
         state.peer_closed_until = instant{};
     }
-    if (changed)
+    if (written || changed)
     {
+        // Another daemon may know of a removal before this write.
         record_instance_change(w, row.id, row.row_version, definition);
+    }
+    if (changed)
+    {
         log_instance(
             w, definition.accepts_work ? "instance_listed" : "instance_leaving",
             state, source);
@@ -386,14 +395,24 @@
     return true;
 }
 
-void apply_reported_row(world &w, instance_row const &row)
+void apply_reported_rows(world &w, std::vector<reported_instance> const &rows)
 {
-    if (row.instance)
+    std::vector<missing_row> missing;
+    for (auto const &reported : rows)
     {
+        if (!reported.definition)
+        {
+            missing.push_back({reported.id, reported.row_version});
+            continue;
+        }
+        instance_row row;
+        row.id = reported.id;
+        row.row_version = reported.row_version;
+        row.instance =
+            std::make_shared<instance_definition const>(*reported.definition);
         apply_instance_row(w, row, report_source);
-        return;
     }
-    remove_instance(w, row.id, row.row_version, report_source);
+    handle_missing_rows(w, missing, report_source);
 }
 
 void update_directory(world &w)
--- a/src/update_directory.hpp
+++ b/src/update_directory.hpp
@@ -3,11 +3,12 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace agateledge
 {
 
-struct instance_row;
+struct reported_instance;
 struct routing_configuration;
 struct world;
 
@@ -28,9 +29,9 @@
     world &w, std::shared_ptr<routing_configuration const> const &next,
     std::string const &source);
 
-/// Applies the row of an instance that another daemon reported. A row without
-/// an instance says that the instance is gone as of the row's version.
-void apply_reported_row(world &w, instance_row const &row);
+/// Applies the rows of instances that another daemon reported. One without a
+/// definition says that the instance has no row as of its version.
+void apply_reported_rows(world &w, std::vector<reported_instance> const &rows);
 
 } // namespace agateledge
 
--- a/test/correctness/directory_fleet_test.cpp
+++ b/test/correctness/directory_fleet_test.cpp
@@ -550,4 +550,10 @@
     expect_sound_plays({.reports = true, .copies = true});
 }
 
+TEST(directory_fleet, a_report_tells_of_removals_that_its_sender_waits_with)
+{
+    expect_sound_plays({.cuts = true});
+}
+
+
 } // namespace
