Keep the drain bound while only the main loop is late

Two failed reads, or a reply that was overdue by 0.5 s, lifted the limit on the age of the directory, so that the store's outage refuses no request. A daemon whose main loop is late for want of processor time got there while the store answered: the reply waited in its socket, or its read timed out because the connection was established a tick later.

Ticks now know how late they are. Lateness of more than 0.1 s extends the time in which a reply is expected, and a read that it may have failed is no sign of an outage; five failed reads in a row are one in any case, so that requests do not wait for a directory that this daemon is too busy to read.

--- a/src/directory_age.cpp
+++ b/src/directory_age.cpp
@@ -15,7 +15,7 @@
 constexpr auto instances_index =
     static_cast<std::size_t>(polled_table::instances);
 
-/// Time by which a late main loop may delay the reply to a read, or its
+/// Time by which an ordinary main loop may delay the reply to a read, or its
 /// timeout.
 constexpr duration max_loop_delay = milliseconds(500);
 
@@ -23,14 +23,20 @@
 /// be lost.
 constexpr int min_failures_of_outage = 2;
 
-/// @return true when the reply to a read, or to its only retry so far, is
-///         expected
+/// The same for reads that a late main loop may have failed. Requests do not
+/// wait longer for a directory that this daemon is too busy to read.
+constexpr int min_late_failures_of_outage = 5;
+
+/// @return true when the reply to a read, or to its retry, is expected
 bool expects_reply(world const &w)
 {
-    auto const sent_at = w.proxy.store_view->read_sent_at.at(instances_index);
-    return w.proxy.table_polls.at(instances_index).failures <
-               min_failures_of_outage &&
-           w.now < sent_at + instances_read_timeout + max_loop_delay;
+    auto const &view = *w.proxy.store_view;
+    auto const &poll_state = w.proxy.table_polls.at(instances_index);
+    auto const due = view.read_sent_at.at(instances_index) +
+                     instances_read_timeout + max_loop_delay +
+                     view.read_delays.at(instances_index);
+    return poll_state.timely_failures < min_failures_of_outage &&
+           poll_state.failures < min_late_failures_of_outage && w.now < due;
 }
 
 } // namespace
--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -29,6 +29,10 @@
 /// a second, half of what the store takes.
 constexpr duration max_short_backoff = milliseconds(300);
 
+/// Lateness of the main loop that does not fail a read: much less than the
+/// shortest timeout of one.
+constexpr duration max_ordinary_lateness = milliseconds(100);
+
 table_poll_state &poll_state_of(world &w, polled_table table)
 {
     return w.proxy.table_polls.at(static_cast<std::size_t>(table));
@@ -99,6 +103,9 @@
                     row_read_reply const &reply)
 {
     ++poll_state.failures;
+    auto const delay =
+        store_view_of(w).read_delays.at(static_cast<std::size_t>(reply.table));
+    poll_state.timely_failures += delay == duration(0) ? 1 : 0;
     poll_state.next_read = w.now + backoff(w, reply.table, poll_state);
     record_reachability(w, false, reply);
 }
@@ -111,6 +118,7 @@
     poll_state.needs_full_read = true;
     poll_state.after_key.clear();
     poll_state.failures = 0;
+    poll_state.timely_failures = 0;
     poll_state.next_read = w.now;
     record_reachability(w, true, reply);
     log_proxied_request(
@@ -125,6 +133,7 @@
     record_reachability(w, true, reply);
     record_store_answer(w, reply, poll_state.version);
     poll_state.failures = 0;
+    poll_state.timely_failures = 0;
     poll_state.confirmed_at = w.now;
     if (reply.full && poll_state.after_key.empty())
     {
@@ -239,7 +248,13 @@
 
 void poll_store(world &w)
 {
-    follow_store_era(w, store_view_of(w).written_era);
+    auto &view = store_view_of(w);
+    if (w.lateness > max_ordinary_lateness)
+    {
+        std::ranges::for_each(view.read_delays,
+                              [&w](duration &delay) { delay += w.lateness; });
+    }
+    follow_store_era(w, view.written_era);
     std::ranges::for_each(w.in.row_read_replies, [&w](row_read_reply &reply)
                           { handle_reply(w, reply); });
     read_table(w, polled_table::configuration);
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -50,6 +50,8 @@
     std::uint64_t version = 0;
     instant next_read{};
     int failures = 0;
+    /// Those of them that no late main loop explains.
+    int timely_failures = 0;
     /// True once a full read has completed.
     bool fully_read = false;
     instant confirmed_at{};
--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -563,6 +563,7 @@
     auto const i = index_of(read.table);
     view.read_eras.at(i) = w.proxy.store.era;
     view.read_newest_versions.at(i) = view.newest_version;
+    view.read_delays.at(i) = duration(0);
     if (read.after_key.empty())
     {
         // A table that is read page by page is as old as its first page.
--- a/src/store_view_state.hpp
+++ b/src/store_view_state.hpp
@@ -105,6 +105,9 @@
     std::array<duration, polled_table_count> read_waits{};
     /// This daemon reads the store for the others of its data centre.
     bool is_reader = false;
+    /// Time by which late ticks have held up the read in flight, or the last
+    /// one, by table.
+    std::array<duration, polled_table_count> read_delays{};
     /// Highest version of the present era in answers and reports.
     std::uint64_t newest_version = 0;
     /// The same when the read in flight, or the last one, was sent, by table.
--- a/src/tick.cpp
+++ b/src/tick.cpp
@@ -24,6 +24,8 @@
 #include "update_circuits.hpp"
 #include "world.hpp"
 
+#include <algorithm>
+
 namespace agateledge
 {
 
@@ -32,6 +34,8 @@
     internal_assert(now >= w.now, "clock went back from ",
                     w.now.time_since_epoch().count(), " to ",
                     now.time_since_epoch().count());
+    w.lateness =
+        w.next_wake ? std::max(now - *w.next_wake, duration(0)) : duration(0);
     w.now = now;
     w.next_wake.reset();
     track_peers(w);
@@ -58,6 +62,11 @@
     }
     answer_operators(w);
     check_invariants(w);
+    if (w.next_wake)
+    {
+        // The lateness of the next tick counts from the end of this one.
+        w.next_wake = std::max(*w.next_wake, now);
+    }
     w.in = {};
 }
 
--- a/src/world.hpp
+++ b/src/world.hpp
@@ -62,6 +62,8 @@
     /// Time of the next tick if no input arrives before. Systems lower it
     /// through `wake_at`.
     std::optional<instant> next_wake;
+    /// Time by which the current tick began later than it had to.
+    duration lateness{};
     /// Configuration in force.
     configuration config;
     /// Configuration from the settings; written as the first revision when the
--- a/test/correctness/directory_fleet_test.cpp
+++ b/test/correctness/directory_fleet_test.cpp
@@ -556,4 +556,10 @@
 }
 
 
+TEST(directory_fleet, a_late_loop_sends_nothing_to_an_instance_that_has_left)
+{
+    expect_sound_plays({.late_loops = true});
+}
+
+
 } // namespace
