Take no answer for recent that is older than what was known

An answer of the store whose version is below one that was seen before its read was sent, in another answer or in a report, made the directory as young as that send. It now counts as a failed read. A daemon that starts still uses its first read, whatever its version.

Evidence: the case of directory_versions that names it passes; it was not run on the code before.

--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -179,6 +179,12 @@
         poll_state.next_read = w.now;
         return;
     }
+    if (reply.outcome == row_outcome::answered && poll_state.fully_read &&
+        is_older_answer(w, reply))
+    {
+        reply.outcome = row_outcome::failed;
+        reply.fault = "the answer is older than what was known before the read";
+    }
     if (reply.outcome == row_outcome::answered)
     {
         handle_rows(w, poll_state, reply);
--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -573,23 +573,30 @@
     ++view.read_counts[view.is_reader ? "for_others" : "own"];
 }
 
+bool is_older_answer(world &w, row_read_reply const &reply)
+{
+    auto &view = store_view_of(w);
+    auto const newest = view.read_newest_versions.at(index_of(reply.table));
+    if (reply.version >= newest)
+    {
+        return false;
+    }
+    ++view.older_answers[std::string(name_of(reply.table))];
+    log_proxied_request(w, log_level::warning, "store_answer_older",
+                        {{"table", std::string(name_of(reply.table))},
+                         {"full", reply.full ? "true" : "false"},
+                         {"version", std::to_string(reply.version)},
+                         {"newest_version", std::to_string(newest)},
+                         {"rows", std::to_string(reply.instances.size())}});
+    return true;
+}
+
 void record_store_answer(world &w, row_read_reply const &reply,
                          std::uint64_t version_before)
 {
     auto &view = store_view_of(w);
     auto const i = index_of(reply.table);
     auto const sent_at = view.read_sent_at.at(i);
-    auto const newest = view.read_newest_versions.at(i);
-    if (reply.version < newest)
-    {
-        ++view.older_answers[std::string(name_of(reply.table))];
-        log_proxied_request(w, log_level::warning, "store_answer_older",
-                            {{"table", std::string(name_of(reply.table))},
-                             {"full", reply.full ? "true" : "false"},
-                             {"version", std::to_string(reply.version)},
-                             {"newest_version", std::to_string(newest)},
-                             {"rows", std::to_string(reply.instances.size())}});
-    }
     view.newest_version = std::max(view.newest_version, reply.version);
     // The store ends a long poll without changes at the end of the wait.
     bool const held_to_end = reply.table == polled_table::configuration &&
--- a/src/share_store_reads.hpp
+++ b/src/share_store_reads.hpp
@@ -53,6 +53,12 @@
 /// Records that a read was sent.
 void record_store_read(world &w, row_read const &read);
 
+/// Logs and counts an answer that is older than what this daemon knew when it
+/// sent the read.
+///
+/// @return true for such an answer
+bool is_older_answer(world &w, row_read_reply const &reply);
+
 /// Records the answer to a read, before its rows are applied.
 ///
 /// @param version_before version up to which changes had been read
--- a/test/correctness/directory_fleet_test.cpp
+++ b/test/correctness/directory_fleet_test.cpp
@@ -545,9 +545,9 @@
     expect_sound_plays({.reports = true});
 }
 
-TEST(directory_fleet, a_store_that_returns_from_a_copy_ends_in_one_view)
+TEST(directory_fleet, a_late_loop_sends_nothing_to_an_instance_that_has_left)
 {
-    expect_sound_plays({.reports = true, .copies = true});
+    expect_sound_plays({.late_loops = true});
 }
 
 TEST(directory_fleet, a_report_tells_of_removals_that_its_sender_waits_with)
@@ -555,11 +555,18 @@
     expect_sound_plays({.cuts = true});
 }
 
-
-TEST(directory_fleet, a_late_loop_sends_nothing_to_an_instance_that_has_left)
+TEST(directory_fleet, all_faults_together_end_in_one_view)
 {
-    expect_sound_plays({.late_loops = true});
+    expect_sound_plays({.old_answers = true,
+                        .reports = true,
+                        .late_loops = true,
+                        .restarts = true,
+                        .cuts = true});
 }
 
+TEST(directory_fleet, a_store_that_returns_from_a_copy_ends_in_one_view)
+{
+    expect_sound_plays({.reports = true, .copies = true});
+}
 
 } // namespace
--- a/test/correctness/directory_versions_test.cpp
+++ b/test/correctness/directory_versions_test.cpp
@@ -1,5 +1,6 @@
 // Guards against rows that are applied in an order other than that of their
 // versions, so that a live instance is hidden or one that has left is listed.
+#include "directory_age.hpp"
 #include "proxy_fixture.hpp"
 #include "store_view_report.hpp"
 
@@ -142,4 +143,18 @@
     EXPECT_FALSE(daemon.lists("desk-1"));
 }
 
+TEST(directory_versions, an_answer_older_than_a_report_does_not_renew_the_view)
+{
+    reading_daemon daemon;
+    daemon.report(120, {});
+    daemon.answer(false, 120, {});
+    daemon.tick_now();
+    auto const known_at = directory_known_at(daemon.state);
+    // Long enough for the next read.
+    daemon.advance(seconds(3));
+    daemon.answer(false, 112, {});
+    daemon.tick_now();
+    EXPECT_EQ(directory_known_at(daemon.state), known_at);
+}
+
 } // namespace
