Keep one age of each table

The time as of which a table is known was kept twice: from the send of the read for calls, and from its reply for the metrics and for orders of engines, which so took the directory for younger by the time of the read.

directory_age.counts_from_the_send_of_the_read fails on the code before. The set-up of order_capacity names the remaining one of the two times.

--- a/src/order_capacity.cpp
+++ b/src/order_capacity.cpp
@@ -2,6 +2,7 @@
 
 #include "capacity_row.hpp"
 #include "capacity_state.hpp"
+#include "directory_age.hpp"
 #include "log_proxied_request.hpp"
 #include "predict_first_event.hpp"
 #include "row_transaction.hpp"
@@ -66,12 +67,10 @@
     return {order.service, order.data_centre, order.reclaimable};
 }
 
-/// Time at which this daemon read the directory, within the bounds for orders.
 bool is_directory_current(world const &w)
 {
-    auto const &poll = w.proxy.table_polls.at(
-        static_cast<std::size_t>(polled_table::instances));
-    return poll.fully_read && w.now - poll.confirmed_at <= max_directory_age;
+    auto const known_at = directory_known_at(w);
+    return known_at && w.now - *known_at <= max_directory_age;
 }
 
 capacity_state &state_of(world &w)
--- a/src/poll_store.cpp
+++ b/src/poll_store.cpp
@@ -134,7 +134,6 @@
     record_store_answer(w, reply, poll_state.version);
     poll_state.failures = 0;
     poll_state.timely_failures = 0;
-    poll_state.confirmed_at = w.now;
     if (reply.full && poll_state.after_key.empty())
     {
         poll_state.first_page_version = reply.version;
--- a/src/proxy_metrics_text.cpp
+++ b/src/proxy_metrics_text.cpp
@@ -56,14 +56,13 @@
         << prefix << name << "_count " << values.count() << "\n";
 }
 
-/// @return seconds since the table was last confirmed; -1 before its first full
-///         read
+/// @return age of what is known of the table; -1 before its first full read
 double table_age_s(world const &w, polled_table table)
 {
-    auto const &poll_state =
-        w.proxy.table_polls.at(static_cast<std::size_t>(table));
-    return poll_state.fully_read ? to_seconds(w.now - poll_state.confirmed_at)
-                                 : -1;
+    auto const index = static_cast<std::size_t>(table);
+    return w.proxy.table_polls.at(index).fully_read
+               ? to_seconds(w.now - w.proxy.store_view->known_at.at(index))
+               : -1;
 }
 
 /// Writes the number of engines of each group, at the daemon that orders them.
--- a/src/proxy_state.hpp
+++ b/src/proxy_state.hpp
@@ -54,7 +54,6 @@
     int timely_failures = 0;
     /// True once a full read has completed.
     bool fully_read = false;
-    instant confirmed_at{};
 };
 
 /// Reachability of the platform's store.
--- a/src/share_store_reads.cpp
+++ b/src/share_store_reads.cpp
@@ -166,12 +166,10 @@
 void confirm(world &w, polled_table table, instant as_of)
 {
     auto &view = *w.proxy.store_view;
-    auto &poll_state = poll_state_of(w, table);
     auto &known_at = view.known_at.at(index_of(table));
     auto &reported_at = view.reported_at.at(index_of(table));
     known_at = std::max(known_at, as_of);
     reported_at = std::max(reported_at, as_of);
-    poll_state.confirmed_at = std::max(poll_state.confirmed_at, as_of);
 }
 
 /// Takes over the instances of a report if it continues this daemon's view.
--- a/test/correctness/directory_age_test.cpp
+++ b/test/correctness/directory_age_test.cpp
@@ -95,4 +95,15 @@
     EXPECT_EQ(daemon.calls_of_a_request(), 1U);
 }
 
+TEST(directory_age, counts_from_the_send_of_the_read)
+{
+    reading_daemon daemon;
+    daemon.advance(milliseconds(500));
+    daemon.end_read(row_outcome::answered);
+    daemon.tick_now();
+    EXPECT_NE(
+        proxy_metrics_text(daemon.state).find("directory_age_seconds 0.5"),
+        std::string::npos);
+}
+
 } // namespace
--- a/test/correctness/order_capacity_test.cpp
+++ b/test/correctness/order_capacity_test.cpp
@@ -6,6 +6,7 @@
 #include "capacity_state.hpp"
 #include "directory_codec.hpp"
 #include "row_transaction.hpp"
+#include "store_view_state.hpp"
 #include "usage_snapshot.hpp"
 #include "world.hpp"
 
@@ -77,10 +78,8 @@
     void run(double tokens_per_s)
     {
         state.now += milliseconds(500);
-        auto &directory = state.proxy.table_polls.at(
-            static_cast<std::size_t>(polled_table::instances));
-        directory.fully_read = true;
-        directory.confirmed_at = state.now;
+        store_view_of(state).known_at.at(
+            static_cast<std::size_t>(polled_table::instances)) = state.now;
         tokens_ += static_cast<std::uint64_t>(std::max(tokens_per_s, 0.0) / 4);
         ++sequence_;
         for (auto const *sender : {"edge-1", "edge-2"})
