Count a removal that a report repeats once

A report repeats the removals of the last seconds. All of them counted as newly missing rows, so that a daemon which did not reach the store took a few removals after many for an outage, and kept instances that had left for up to 2.2 s. Only instances that are listed without a grace count now.

Evidence: directory_versions.removals_that_a_report_repeats_are_no_outage fails before and passes with the change.

--- a/src/update_directory.cpp
+++ b/src/update_directory.cpp
@@ -173,8 +173,17 @@
     auto const expiring =
         std::ranges::count_if(all, [](auto const &item)
                               { return item.second.expires_at.has_value(); });
+    // A report repeats removals that are known already.
+    auto const newly_missing = std::ranges::count_if(
+        rows,
+        [&w](missing_row const &row)
+        {
+            auto const *instance = w.proxy.instances.find(row.id);
+            return instance != nullptr && !instance->expires_at &&
+                   instance->row_version <= row.version;
+        });
     auto const missing =
-        static_cast<double>(rows.size()) + static_cast<double>(expiring);
+        static_cast<double>(newly_missing) + static_cast<double>(expiring);
     bool const outage =
         in_era_grace(w) || (in_missing_row_grace(w) &&
                             missing >= min_missing_share_in_outage *
--- a/test/correctness/directory_versions_test.cpp
+++ b/test/correctness/directory_versions_test.cpp
@@ -143,6 +143,29 @@
     EXPECT_FALSE(daemon.lists("desk-1"));
 }
 
+TEST(directory_versions, removals_that_a_report_repeats_are_no_outage)
+{
+    reading_daemon daemon;
+    std::vector<instance_row> rows;
+    std::vector<reported_instance> removals;
+    for (int i = 1; i <= 12; ++i)
+    {
+        rows.push_back(listed_row("desk-" + std::to_string(i), 101));
+        removals.push_back({rows.back().id, 110, std::nullopt});
+    }
+    daemon.answer(false, 105, rows);
+    daemon.tick_now();
+    removals.resize(6);
+    daemon.report(110, removals);
+    daemon.tick_now();
+    daemon.state.now += seconds(3);
+    daemon.store_fails();
+    removals.push_back({"desk-7", 115, std::nullopt});
+    daemon.report(115, removals);
+    daemon.tick_now();
+    EXPECT_FALSE(daemon.lists("desk-7"));
+}
+
 TEST(directory_versions, an_answer_older_than_a_report_does_not_renew_the_view)
 {
     reading_daemon daemon;
